--- /dev/null
+++ b/src/actors/round.rs
@@ -0,0 +1,196 @@
+//! Owner of the round: takes all that happened since the last one, decides, writes down what
+//! has to be written, and sends stops straight away.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix::prelude::*;
+use awc::Client;
+use tracing::{debug, info};
+
+use crate::cluster::{RecordWrite, Verified};
+use crate::leader::Lead;
+use crate::model::MachineId;
+use crate::sched::{self, Short};
+use crate::service::{Shared, Shelf};
+use crate::store::actor::{Commit, StoreActor};
+use crate::store::{keys, Condition, Outcome, StoreError};
+use crate::wire::{self, DirectOrders, Order, Report};
+
+/// Shortest time between two rounds: events gather meanwhile.
+const SHORTEST: Duration = Duration::from_millis(150);
+/// Longest time between two rounds, so that what time alone brings is seen.
+const LONGEST: Duration = Duration::from_secs(1);
+/// A round may take up to this part of the time; the more it costs, the rarer it gets.
+const ROUND_PART: u32 = 8;
+/// Pause after a write that failed.
+const WRITE_PAUSE: Duration = Duration::from_millis(400);
+/// A worker that has not taken a direct command by then gets it by its report.
+const ORDER_LIMIT: Duration = Duration::from_secs(2);
+
+/// The latest round's shortages, for the fleet.
+pub type Shortages = Arc<Shelf<Vec<Short>>>;
+
+/// The actor.
+pub struct RoundActor {
+    shared: Arc<Shared>,
+    store: Addr<StoreActor>,
+    http: Client,
+    shortages: Shortages,
+}
+
+impl RoundActor {
+    /// A round that writes through `store` and commands workers through `http`.
+    pub fn new(
+        shared: Arc<Shared>,
+        store: Addr<StoreActor>,
+        http: Client,
+        shortages: Shortages,
+    ) -> Self {
+        Self {
+            shared,
+            store,
+            http,
+            shortages,
+        }
+    }
+}
+
+impl Actor for RoundActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, _: &mut Self::Context) {
+        let rounds = Rounds {
+            shared: self.shared.clone(),
+            store: self.store.clone(),
+            http: self.http.clone(),
+            shortages: self.shortages.clone(),
+            writes_rest_until: Shelf::default(),
+        };
+        actix::spawn(Arc::new(rounds).run());
+    }
+}
+
+struct Rounds {
+    shared: Arc<Shared>,
+    store: Addr<StoreActor>,
+    http: Client,
+    shortages: Shortages,
+    writes_rest_until: Shelf<Option<Instant>>,
+}
+
+impl Rounds {
+    async fn run(self: Arc<Self>) {
+        loop {
+            let began = Instant::now();
+            let lead = self.shared.role.lock().leading(began);
+            if let Some(lead) = lead {
+                self.round(&lead, began);
+            }
+            let took = began.elapsed();
+            let pause = (took * ROUND_PART).max(SHORTEST);
+            actix::clock::sleep(pause).await;
+            let woken = self.shared.wake_round.notified();
+            let _ = actix::clock::timeout(LONGEST.saturating_sub(pause), woken).await;
+        }
+    }
+
+    fn round(self: &Arc<Self>, lead: &Lead, now: Instant) {
+        let (writes, direct, waits) = {
+            let mut guard = self.shared.cluster.lock();
+            let Some(cluster) = guard.as_mut().filter(|c| c.term == lead.term) else {
+                return;
+            };
+            self.shared.drain_by_operator(cluster);
+            cluster.expire(now);
+            let decisions = sched::round(cluster, &self.shared.policy, now);
+            sched::apply(cluster, &decisions, now);
+            cluster.dirty = false;
+            let starts: usize = decisions.starts.iter().map(|s| s.members.len()).sum();
+            let stops = decisions.halts.len() + decisions.gang_stops.len();
+            if starts + stops > 0 {
+                info!(starts, stops, short = decisions.short.len(), "round");
+                let mut metrics = self.shared.metrics.lock();
+                metrics.starts += starts as u64;
+                metrics.stops += stops as u64;
+            }
+            *self.shortages.lock() = decisions.short;
+            let rest = *self.writes_rest_until.lock();
+            let writes = if rest.is_none_or(|until| now >= until) {
+                cluster.due_writes()
+            } else {
+                Vec::new()
+            };
+            let direct = cluster.direct_orders(now);
+            (writes, direct, std::mem::take(&mut cluster.waits))
+        };
+        for write in writes {
+            actix::spawn(self.clone().write(lead.clone(), write));
+        }
+        for (machine, address, session, orders) in direct {
+            let body = DirectOrders {
+                token: lead.term.0,
+                session,
+                orders,
+            };
+            actix::spawn(self.clone().command(machine, address, body));
+        }
+        let mut metrics = self.shared.metrics.lock();
+        metrics.rounds.add(now.elapsed());
+        for wait in waits {
+            metrics.waits.add(wait);
+        }
+    }
+
+    /// Writes what the picture waits for, on condition that we still lead.
+    async fn write(self: Arc<Self>, lead: Lead, mut write: RecordWrite) {
+        let condition = Condition::new(keys::LEADER, lead.version);
+        write.group.when.push(condition);
+        let sent = self.store.send(Commit(write.group)).await;
+        let outcome = sent.unwrap_or(Outcome::Failed(StoreError::Unknown));
+        if !outcome.committed() {
+            debug!(kind = ?write.kind, ?outcome, "write failed");
+            *self.writes_rest_until.lock() = Some(Instant::now() + WRITE_PAUSE);
+        }
+        if let Some(cluster) = self.shared.cluster.lock().as_mut() {
+            if cluster.term == lead.term {
+                cluster.written(&write.kind, &outcome);
+            }
+        }
+        self.shared.wake_round.notify_one();
+    }
+
+    /// Sends stops straight to a worker. Late or repeated they do no harm, since no attempt
+    /// is ever used twice.
+    async fn command(self: Arc<Self>, machine: MachineId, address: String, body: DirectOrders) {
+        debug_assert!(!body.orders.iter().any(|o| matches!(o, Order::Run { .. })));
+        let sent = self
+            .http
+            .post(format!("http://{address}/orders"))
+            .timeout(ORDER_LIMIT)
+            .content_type(wire::CBOR)
+            .send_body(wire::encode(&body))
+            .await;
+        let Ok(mut answer) = sent else {
+            debug!(%machine, "no answer to a direct command");
+            return;
+        };
+        let Ok(bytes) = answer.body().limit(wire::BODY_LIMIT).await else {
+            return;
+        };
+        let Ok(report) = wire::decode::<Report>(&bytes) else {
+            return;
+        };
+        let now = Instant::now();
+        if let Some(cluster) = self.shared.cluster.lock().as_mut() {
+            if cluster.term.0 == body.token {
+                let verified = cluster.report(&report, false, now);
+                debug!(%machine, ?verified, "direct command answered");
+                if verified == Verified::Deposed {
+                    return;
+                }
+            }
+        }
+        self.shared.wake_round.notify_one();
+    }
+}
--- /dev/null
+++ b/src/api/admin.rs
@@ -0,0 +1,264 @@
+//! The operators' interface: JSON on the peer address.
+//!
+//! Settings live in the state service under a version, so that every controller takes them
+//! up through its watch and they outlive all of them.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use actix::Addr;
+use actix_web::http::header::{self, HeaderValue};
+use actix_web::{web, HttpResponse};
+use serde::{Deserialize, Serialize};
+
+use super::RETRY_AFTER_S;
+use crate::leader::Standing;
+use crate::metrics::Summary;
+use crate::service::{OperatorSettings, Shared};
+use crate::store::actor::{Commit, StoreActor};
+use crate::store::{keys, to_value, Change, Condition, Group, Outcome};
+use crate::wire::Problem;
+
+/// Largest body taken from an operator.
+const BODY_LIMIT: usize = 64 * 1024;
+/// A change of settings is answered by then.
+const CHANGE_LIMIT: Duration = Duration::from_secs(3);
+
+type Store = web::Data<Addr<StoreActor>>;
+
+/// Settings with the version that a change has to name.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct VersionedSettings {
+    /// Version of the settings read; 0: none were ever set.
+    pub version: u64,
+    /// The settings.
+    pub settings: OperatorSettings,
+}
+
+#[derive(Debug, Serialize)]
+struct MachineStatus {
+    build: String,
+    zone: String,
+    spot: bool,
+    tasks: usize,
+    reported_s_ago: Option<f64>,
+    drain: Option<String>,
+    returning: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct JobStatus {
+    class: String,
+    team: String,
+    tasks: u32,
+    done: u32,
+    placed: usize,
+    age_s: f64,
+    waits_for: Option<&'static str>,
+}
+
+#[derive(Debug, Serialize)]
+struct Status {
+    member: String,
+    leading: bool,
+    leader: Option<String>,
+    term: Option<u64>,
+    records_revision: u64,
+    state_service_answers: bool,
+    unsettled_machines: usize,
+    machines: BTreeMap<String, MachineStatus>,
+    jobs: BTreeMap<String, JobStatus>,
+}
+
+#[derive(Debug, Serialize)]
+struct MetricsView {
+    round_time: Summary,
+    waiting: Summary,
+    submission: Summary,
+    accepted: u64,
+    refused: u64,
+    terms: u64,
+    starts: u64,
+    stops: u64,
+    rented: u64,
+    returned: u64,
+}
+
+/// `GET /admin/status`
+pub async fn status(shared: web::Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok().json(view(&shared))
+}
+
+fn view(shared: &Shared) -> Status {
+    let now = Instant::now();
+    let standing = shared.role.lock().standing(now);
+    let leading = matches!(standing, Standing::Lead(_));
+    let me = shared.settings.member.clone();
+    let (leader, term) = match standing {
+        Standing::Lead(lead) => (Some(me.clone()), Some(lead.term.0)),
+        Standing::Caretake(_) => (None, None),
+        Standing::Follow(leader) => (leader, None),
+    };
+    let mut status = Status {
+        member: me,
+        leading,
+        leader,
+        term,
+        records_revision: shared.replica.lock().revision,
+        state_service_answers: shared.contact.lock().failing_since.is_none(),
+        unsettled_machines: 0,
+        machines: BTreeMap::new(),
+        jobs: BTreeMap::new(),
+    };
+    let guard = shared.cluster.lock();
+    let Some(cluster) = guard.as_ref() else {
+        return status;
+    };
+    status.unsettled_machines = cluster.unsettled.len();
+    for (id, machine) in &cluster.machines {
+        let reported = machine.reported.map(|at| now.saturating_duration_since(at));
+        let shown = MachineStatus {
+            build: machine.build.clone(),
+            zone: machine.zone.clone(),
+            spot: machine.spot,
+            tasks: machine.slots.values().filter(|s| s.occupies()).count(),
+            reported_s_ago: reported.map(|d| d.as_secs_f64()),
+            drain: machine
+                .drain
+                .map(|drain| format!("{drain:?}").to_lowercase()),
+            returning: machine.returning,
+        };
+        status.machines.insert(id.to_string(), shown);
+    }
+    for (id, job) in &cluster.jobs {
+        let waits = job.open() && job.pending_count() > 0;
+        let shown = JobStatus {
+            class: job.spec.class.clone(),
+            team: job.spec.team.clone(),
+            tasks: job.spec.tasks,
+            done: job.done.len(),
+            placed: job.places.len(),
+            age_s: now.saturating_duration_since(job.submitted).as_secs_f64(),
+            waits_for: waits.then_some(job.waits_for),
+        };
+        status.jobs.insert(id.to_string(), shown);
+    }
+    status
+}
+
+/// `GET /admin/metrics`
+pub async fn metrics(shared: web::Data<Shared>) -> HttpResponse {
+    let view = {
+        let m = shared.metrics.lock();
+        MetricsView {
+            round_time: m.rounds.summary(),
+            waiting: m.waits.summary(),
+            submission: m.submissions.summary(),
+            accepted: m.accepted,
+            refused: m.refused,
+            terms: m.terms,
+            starts: m.starts,
+            stops: m.stops,
+            rented: m.rented,
+            returned: m.returned,
+        }
+    };
+    HttpResponse::Ok().json(view)
+}
+
+/// `GET /admin/settings`
+pub async fn settings(shared: web::Data<Shared>) -> HttpResponse {
+    let (loaded, version) = {
+        let replica = shared.replica.lock();
+        (replica.loaded, replica.settings.version)
+    };
+    if !loaded {
+        return unavailable();
+    }
+    let settings = shared.operator.lock().clone();
+    HttpResponse::Ok().json(VersionedSettings { version, settings })
+}
+
+fn refuse(mut answer: actix_web::HttpResponseBuilder, error: String) -> HttpResponse {
+    answer.json(Problem { error })
+}
+
+fn unavailable() -> HttpResponse {
+    let error = "the state service does not answer; try again".to_owned();
+    let mut answer = refuse(HttpResponse::ServiceUnavailable(), error);
+    answer
+        .headers_mut()
+        .insert(header::RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
+    answer
+}
+
+/// `PUT /admin/settings`
+pub async fn set_settings(
+    shared: web::Data<Shared>,
+    store: Store,
+    body: web::Bytes,
+) -> HttpResponse {
+    let wanted: VersionedSettings = match serde_json::from_slice(&body) {
+        Ok(wanted) => wanted,
+        Err(error) => return refuse(HttpResponse::BadRequest(), error.to_string()),
+    };
+    change(&shared, &store, wanted).await
+}
+
+async fn change(
+    shared: &Shared,
+    store: &Addr<StoreActor>,
+    wanted: VersionedSettings,
+) -> HttpResponse {
+    if let Some(field) = wanted.settings.wrong_field() {
+        let error = format!("field `{field}` is out of range");
+        return refuse(HttpResponse::BadRequest(), error);
+    }
+    if !shared.replica.lock().loaded {
+        return unavailable();
+    }
+    let group = Group {
+        when: vec![Condition::new(keys::SETTINGS, wanted.version)],
+        apply: vec![Change::put(keys::SETTINGS, to_value(&wanted.settings))],
+    };
+    let sent = actix::clock::timeout(CHANGE_LIMIT, store.send(Commit(group)));
+    match sent.await {
+        Ok(Ok(Outcome::Committed(version))) => HttpResponse::Ok().json(VersionedSettings {
+            version,
+            settings: wanted.settings,
+        }),
+        Ok(Ok(Outcome::Conflict { .. })) => {
+            let error = "the settings have changed since that version; read them again".to_owned();
+            refuse(HttpResponse::Conflict(), error)
+        }
+        _ => unavailable(),
+    }
+}
+
+/// `POST /admin/machines/{name}/drain`: no new tasks for the machine.
+pub async fn drain(
+    shared: web::Data<Shared>,
+    store: Store,
+    path: web::Path<String>,
+) -> HttpResponse {
+    let version = shared.replica.lock().settings.version;
+    let mut settings = shared.operator.lock().clone();
+    let name = path.into_inner();
+    if !settings.drained.contains(&name) {
+        settings.drained.push(name);
+    }
+    change(&shared, &store, VersionedSettings { version, settings }).await
+}
+
+/// The routes for operators.
+pub fn routes(config: &mut web::ServiceConfig) {
+    config.service(
+        web::scope("/admin")
+            .app_data(web::PayloadConfig::new(BODY_LIMIT))
+            .route("/status", web::get().to(status))
+            .route("/metrics", web::get().to(metrics))
+            .route("/settings", web::get().to(settings))
+            .route("/settings", web::put().to(set_settings))
+            .route("/machines/{name}/drain", web::post().to(drain)),
+    );
+}
--- /dev/null
+++ b/src/api/mod.rs
@@ -0,0 +1,49 @@
+//! What users, workers, the load balancer and operators reach. Handlers decode, ask the
+//! parts that decide, and encode.
+
+pub mod admin;
+pub mod users;
+pub mod workers;
+
+use actix_web::http::header::{self, HeaderValue};
+use actix_web::http::StatusCode;
+use actix_web::{web, HttpResponse};
+use serde::Serialize;
+
+use crate::wire::{self, Problem};
+
+/// Seconds after which a refused request may come again.
+pub const RETRY_AFTER_S: u32 = 1;
+
+/// An answer with a CBOR body.
+pub fn cbor<T: Serialize>(status: StatusCode, body: &T) -> HttpResponse {
+    HttpResponse::build(status)
+        .content_type(wire::CBOR)
+        .body(wire::encode(body))
+}
+
+/// A refusal that says why.
+pub fn problem(status: StatusCode, error: impl Into<String>) -> HttpResponse {
+    let error = error.into();
+    cbor(status, &Problem { error })
+}
+
+/// A refusal for the time being: said at once, with the time to come back.
+pub fn later(status: StatusCode, error: &str) -> HttpResponse {
+    let mut answer = problem(status, error);
+    answer
+        .headers_mut()
+        .insert(header::RETRY_AFTER, HeaderValue::from(RETRY_AFTER_S));
+    answer
+}
+
+/// The routes on the public address.
+pub fn public(config: &mut web::ServiceConfig) {
+    config
+        .app_data(web::PayloadConfig::new(wire::BODY_LIMIT))
+        .route("/hello", web::post().to(workers::hello))
+        .route("/up", web::get().to(users::up))
+        .route("/api/jobs", web::post().to(users::submit))
+        .route("/api/jobs/{id}", web::get().to(users::poll))
+        .route("/api/jobs/{id}/abort", web::post().to(users::abort));
+}
--- /dev/null
+++ b/src/api/users.rs
@@ -0,0 +1,281 @@
+//! Users' requests. Any node answers them, whoever leads: verdicts are written to and read
+//! from the state service, and nothing else may be told as if it were one.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant, SystemTime};
+
+use actix::Addr;
+use actix_web::http::StatusCode;
+use actix_web::{web, HttpResponse};
+use tracing::{debug, info};
+
+use super::{cbor, later, problem};
+use crate::cluster::Catalog;
+use crate::model::{Amount, JobId, JobSpec, Shape, Verdict};
+use crate::sched::Policy;
+use crate::service::Shared;
+use crate::store::actor::{Check, Commit, StoreActor};
+use crate::store::keys::{self, JobRecord, LiveRecord};
+use crate::store::{to_value, Change, Condition, Group, Outcome, StoreError};
+use crate::wire::{self, JobBody, JobState};
+
+/// A submission is answered by then, while its user still waits.
+const SUBMIT_LIMIT: Duration = Duration::from_secs(3);
+/// A poll is answered by then.
+const POLL_LIMIT: Duration = Duration::from_millis(1700);
+/// Attempts at a cancellation whose conditions failed, each after reading what stands.
+const ABORT_ATTEMPTS: usize = 3;
+
+type Store = web::Data<Addr<StoreActor>>;
+
+/// `GET /up`
+pub async fn up(shared: web::Data<Shared>) -> HttpResponse {
+    if shared.fit_for_requests(Instant::now()) {
+        HttpResponse::Ok().finish()
+    } else {
+        HttpResponse::ServiceUnavailable().finish()
+    }
+}
+
+/// A job's state as its user may see it.
+fn state(shared: &Shared, id: &JobId, verdict: Verdict, tasks: u32) -> JobState {
+    let (done, running) = match verdict {
+        Verdict::Done => (tasks, 0),
+        Verdict::Cancelled => (0, 0),
+        Verdict::Accepted => counts(shared, id),
+    };
+    let status = match verdict {
+        Verdict::Done => "done",
+        Verdict::Cancelled => "cancelled",
+        Verdict::Accepted if running > 0 => "running",
+        Verdict::Accepted => "pending",
+    };
+    JobState {
+        id: id.to_string(),
+        status: status.to_owned(),
+        done,
+        running,
+    }
+}
+
+fn counts(shared: &Shared, id: &JobId) -> (u32, u32) {
+    if let Some(cluster) = shared.cluster.lock().as_ref() {
+        return cluster.count(id);
+    }
+    let counts: &HashMap<JobId, (u32, u32)> = &shared.counts.lock();
+    counts.get(id).copied().unwrap_or((0, 0))
+}
+
+/// What is known for good of a job, as of now: a final verdict never changes, everything
+/// else is looked up.
+async fn verdict(
+    shared: &Shared,
+    store: &Addr<StoreActor>,
+    id: &JobId,
+) -> Result<Option<(Verdict, u32)>, StoreError> {
+    let cached = {
+        let replica = shared.replica.lock();
+        replica.jobs.get(id).map(|job| job.record)
+    };
+    if let Some((Verdict::Done | Verdict::Cancelled, _)) = cached {
+        return Ok(cached);
+    }
+    let check = store.send(Check(id.clone()));
+    match actix::clock::timeout(POLL_LIMIT, check).await {
+        Ok(Ok(answer)) => answer,
+        _ => Err(StoreError::Unknown),
+    }
+}
+
+fn refusal(error: &StoreError) -> HttpResponse {
+    match error {
+        StoreError::Refused(429) => later(StatusCode::TOO_MANY_REQUESTS, "too many requests"),
+        _ => later(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the state service does not answer",
+        ),
+    }
+}
+
+/// `GET /api/jobs/{id}`
+pub async fn poll(
+    shared: web::Data<Shared>,
+    store: Store,
+    path: web::Path<String>,
+) -> HttpResponse {
+    let Some(id) = JobId::parse(&path) else {
+        return problem(StatusCode::NOT_FOUND, "no such job");
+    };
+    match verdict(&shared, &store, &id).await {
+        Ok(Some((verdict, tasks))) => cbor(StatusCode::OK, &state(&shared, &id, verdict, tasks)),
+        Ok(None) => problem(StatusCode::NOT_FOUND, "no such job"),
+        Err(error) => refusal(&error),
+    }
+}
+
+/// Why a job can never run, if that is so.
+fn impossible(spec: &JobSpec, policy: &Policy, catalog: &Catalog) -> Option<String> {
+    if !policy.teams.contains_key(&spec.team) {
+        return Some(format!("unknown team {}", spec.team));
+    }
+    let fits_one = catalog.iter().any(|build| {
+        let mut zones = build.zones.iter();
+        let zone = zones.any(|zone| spec.allows(&build.name, zone, false));
+        zone && spec.need.fits(&build.room)
+    });
+    if !fits_one {
+        return Some("a task fits no machine type allowed".to_owned());
+    }
+    let most: Amount = match spec.shape {
+        Shape::Array => spec.need,
+        Shape::Gang => spec.need.times(spec.tasks),
+    };
+    if !policy.within_limit(&spec.team, &most) {
+        return Some("the job needs more than its team's limit".to_owned());
+    }
+    None
+}
+
+/// `POST /api/jobs`
+pub async fn submit(
+    shared: web::Data<Shared>,
+    store: Store,
+    body: Result<web::Bytes, actix_web::Error>,
+) -> HttpResponse {
+    let began = Instant::now();
+    let Ok(body) = body else {
+        return problem(StatusCode::BAD_REQUEST, "body too large or cut off");
+    };
+    let read = wire::decode::<JobBody>(&body).and_then(JobBody::check);
+    let spec = match read {
+        Ok(spec) => spec,
+        Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let answer = match actix::clock::timeout(SUBMIT_LIMIT, accept(&shared, &store, spec)).await {
+        Ok(answer) => answer,
+        Err(_) => refusal(&StoreError::Unknown),
+    };
+    let mut metrics = shared.metrics.lock();
+    metrics.submissions.add(began.elapsed());
+    match answer.status() {
+        StatusCode::CREATED => metrics.accepted += 1,
+        status if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS => {
+            metrics.refused += 1;
+        }
+        _ => {}
+    }
+    answer
+}
+
+async fn accept(shared: &Shared, store: &Addr<StoreActor>, spec: JobSpec) -> HttpResponse {
+    let id = spec.id.clone();
+    let known = shared.replica.lock().jobs.contains_key(&id);
+    if known {
+        return known_state(shared, store, &id).await;
+    }
+    let Some(catalog) = shared.catalog.lock().clone() else {
+        return later(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the machine types are not known yet",
+        );
+    };
+    if let Some(why) = impossible(&spec, &shared.policy, &catalog) {
+        // An accepted job must never be called impossible, whatever the catalog says now.
+        return match verdict(shared, store, &id).await {
+            Ok(Some((verdict, tasks))) => cbor(StatusCode::OK, &state(shared, &id, verdict, tasks)),
+            Ok(None) => problem(StatusCode::UNPROCESSABLE_ENTITY, why),
+            Err(error) => refusal(&error),
+        };
+    }
+    let tasks = spec.tasks;
+    let submitted_ms = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64);
+    let job = JobRecord {
+        verdict: Verdict::Accepted,
+        tasks,
+    };
+    let live = LiveRecord {
+        spec,
+        submitted_ms,
+        started: false,
+    };
+    let group = Group {
+        when: vec![Condition::new(keys::job(&id), 0)],
+        apply: vec![
+            Change::put(keys::job(&id), to_value(&job)),
+            Change::put(keys::live(&id), to_value(&live)),
+        ],
+    };
+    let outcome = store.send(Commit(group)).await;
+    match outcome.unwrap_or(Outcome::Failed(StoreError::Unknown)) {
+        Outcome::Committed(_) => {
+            info!(job = %id, tasks, "accepted");
+            let new = state(shared, &id, Verdict::Accepted, tasks);
+            cbor(StatusCode::CREATED, &new)
+        }
+        Outcome::Conflict { .. } => known_state(shared, store, &id).await,
+        Outcome::Failed(error) => {
+            debug!(job = %id, %error, "not accepted");
+            refusal(&error)
+        }
+    }
+}
+
+async fn known_state(shared: &Shared, store: &Addr<StoreActor>, id: &JobId) -> HttpResponse {
+    match verdict(shared, store, id).await {
+        Ok(Some((verdict, tasks))) => cbor(StatusCode::OK, &state(shared, id, verdict, tasks)),
+        // It was there a moment ago; only a second look can tell.
+        Ok(None) => refusal(&StoreError::Unknown),
+        Err(error) => refusal(&error),
+    }
+}
+
+/// `POST /api/jobs/{id}/abort`
+pub async fn abort(
+    shared: web::Data<Shared>,
+    store: Store,
+    path: web::Path<String>,
+) -> HttpResponse {
+    let Some(id) = JobId::parse(&path) else {
+        return problem(StatusCode::NOT_FOUND, "no such job");
+    };
+    match actix::clock::timeout(SUBMIT_LIMIT, cancel(&shared, &store, &id)).await {
+        Ok(answer) => answer,
+        Err(_) => refusal(&StoreError::Unknown),
+    }
+}
+
+async fn cancel(shared: &Shared, store: &Addr<StoreActor>, id: &JobId) -> HttpResponse {
+    for _ in 0..ABORT_ATTEMPTS {
+        let (verdict, tasks) = match verdict(shared, store, id).await {
+            Ok(Some(found)) => found,
+            Ok(None) => return problem(StatusCode::NOT_FOUND, "no such job"),
+            Err(error) => return refusal(&error),
+        };
+        if verdict != Verdict::Accepted {
+            return cbor(StatusCode::OK, &state(shared, id, verdict, tasks));
+        }
+        let version = shared.replica.lock().job_version(id);
+        let record = JobRecord {
+            verdict: Verdict::Cancelled,
+            tasks,
+        };
+        let group = Group {
+            when: vec![Condition::new(keys::job(id), version)],
+            apply: vec![Change::put(keys::job(id), to_value(&record))],
+        };
+        let outcome = store.send(Commit(group)).await;
+        match outcome.unwrap_or(Outcome::Failed(StoreError::Unknown)) {
+            Outcome::Committed(_) => {
+                info!(job = %id, "cancelled");
+                let cancelled = state(shared, id, Verdict::Cancelled, tasks);
+                return cbor(StatusCode::OK, &cancelled);
+            }
+            // Something else was written first; what stands decides.
+            Outcome::Conflict { .. } => {}
+            Outcome::Failed(error) => return refusal(&error),
+        }
+    }
+    refusal(&StoreError::Unknown)
+}
--- /dev/null
+++ b/src/api/workers.rs
@@ -0,0 +1,71 @@
+//! Reports of workers.
+
+use std::time::Instant;
+
+use actix_web::http::StatusCode;
+use actix_web::{web, HttpResponse};
+
+use super::{cbor, problem};
+use crate::cluster::Verified;
+use crate::leader::Standing;
+use crate::model::{MachineId, Term};
+use crate::service::Shared;
+use crate::wire::{self, Order, Redirect, Report, ReportAnswer};
+
+/// `POST /hello`
+pub async fn hello(
+    shared: web::Data<Shared>,
+    body: Result<web::Bytes, actix_web::Error>,
+) -> HttpResponse {
+    let Ok(body) = body else {
+        return problem(StatusCode::BAD_REQUEST, "body too large or cut off");
+    };
+    let now = Instant::now();
+    let standing = shared.role.lock().standing(now);
+    let term = match standing {
+        Standing::Lead(lead) => lead.term,
+        Standing::Caretake(term) => term,
+        Standing::Follow(Some(member)) => {
+            let report_to = Some(member);
+            return cbor(StatusCode::MISDIRECTED_REQUEST, &Redirect { report_to });
+        }
+        Standing::Follow(None) => {
+            return problem(StatusCode::SERVICE_UNAVAILABLE, "nobody leads");
+        }
+    };
+    let report: Report = match wire::decode(&body) {
+        Ok(report) => report,
+        Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    match take(&shared, &report, term, now) {
+        Some((orders, wake)) => {
+            if wake {
+                shared.wake_round.notify_one();
+            }
+            let token = term.0;
+            cbor(StatusCode::OK, &ReportAnswer { token, orders })
+        }
+        None => problem(StatusCode::SERVICE_UNAVAILABLE, "the lead is passing on"),
+    }
+}
+
+/// The orders for the worker and whether a round should look; `None` if another one leads.
+fn take(shared: &Shared, report: &Report, term: Term, now: Instant) -> Option<(Vec<Order>, bool)> {
+    let id = MachineId(report.machine.as_str().into());
+    let mut guard = shared.cluster.lock();
+    let cluster = guard.as_mut().filter(|cluster| cluster.term == term)?;
+    let verified = cluster.report(report, true, now);
+    if verified == Verified::Deposed {
+        return None;
+    }
+    cluster.touch(&id, now);
+    // Looked at under the lock: a lead that has just ended must not send starts.
+    let leads = shared.role.lock().leading(Instant::now());
+    let may_order = leads.is_some_and(|lead| lead.term == term) && verified == Verified::Newer;
+    let orders = if may_order {
+        cluster.answer(&id, now)
+    } else {
+        Vec::new()
+    };
+    Some((orders, cluster.dirty))
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,57 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand};
+
+/// A gang scheduler for rented clusters: all starts of a gang leave together, or none does.
+#[derive(Debug, Parser)]
+#[command(version, about, arg_required_else_help = true)]
+pub struct Cli {
+    /// Serve as a controller with this settings file.
+    #[arg(long, value_name = "FILE")]
+    pub config: Option<PathBuf>,
+    /// What to do instead of serving.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+/// What to do instead of serving.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Check a settings file and say what is wrong with it.
+    Check {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Talk to a running controller's administration interface.
+    Admin {
+        /// Any controller's peer address, such as 10.0.0.1:8081.
+        #[arg(long, value_name = "ADDRESS")]
+        node: std::net::SocketAddrV4,
+        /// What to ask or tell it.
+        #[command(subcommand)]
+        action: AdminAction,
+    },
+}
+
+/// What operators can ask or tell a controller.
+#[derive(Debug, Subcommand)]
+pub enum AdminAction {
+    /// Who leads, the machines, and the jobs with what each waits for.
+    Status,
+    /// Counters and histograms.
+    Metrics,
+    /// The operators' settings with their version.
+    Settings,
+    /// Set the operators' settings: JSON with `version` and `settings`, as `settings` prints it.
+    Set {
+        /// The JSON, or a file that holds it after an @.
+        json: String,
+    },
+    /// Give a machine no new tasks.
+    Drain {
+        /// The machine's name.
+        machine: String,
+    },
+}
--- /dev/null
+++ b/src/cluster/machine.rs
@@ -0,0 +1,248 @@
+//! One machine as its reports, the cloud and our own commands show it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId};
+use crate::wire::Cause;
+
+/// A start of a task on a machine.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SlotId {
+    /// The task.
+    pub task: TaskId,
+    /// The attempt.
+    pub attempt: Attempt,
+}
+
+/// Where a start stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Decided, not sent: nothing can have happened yet.
+    Planned,
+    /// Sent in the answer to that report. The next report of the worker's own shows whether
+    /// it took.
+    Sent {
+        /// The session answered.
+        session: u64,
+        /// The report answered.
+        seq: u64,
+    },
+    /// Waits for its image.
+    Pulling,
+    /// Waits for its gang.
+    Gathering,
+    /// Runs.
+    Running,
+    /// Saves.
+    Flushing,
+    /// Ended; off the machine, but still in its reports.
+    Exited(Cause),
+}
+
+/// A stop we want.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stop {
+    /// Time to save.
+    pub grace_s: f64,
+    /// When the machine was last told.
+    pub told: Option<Instant>,
+}
+
+/// A start with all that is known of it.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    /// The job, if it is known.
+    pub spec: Option<Arc<JobSpec>>,
+    /// Where it stands.
+    pub phase: Phase,
+    /// When it was planned or first seen.
+    pub since: Instant,
+    /// When it was first seen running.
+    pub running_since: Option<Instant>,
+    /// Whether it is to stop.
+    pub stop: Option<Stop>,
+}
+
+impl Slot {
+    /// Whether the task may be on the machine.
+    pub fn occupies(&self) -> bool {
+        !matches!(self.phase, Phase::Exited(_))
+    }
+
+    /// Whether a worker may know of it.
+    pub fn sent(&self) -> bool {
+        self.phase != Phase::Planned
+    }
+}
+
+/// Whether a record is in the state service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Durable {
+    /// Not there, or not known to be.
+    No,
+    /// Being written.
+    Writing,
+    /// There.
+    Yes,
+}
+
+/// Why a machine takes no new tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Drain {
+    /// Tasks of several jobs failed on it.
+    Sick,
+    /// It is much slower than others of its type.
+    Slow,
+    /// An operator asked.
+    Operator,
+    /// It is to be returned.
+    Return,
+}
+
+/// Where a machine stands with the cloud and with us.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    /// Its name.
+    pub id: MachineId,
+    /// Where it takes direct commands.
+    pub address: String,
+    /// Its type.
+    pub build: String,
+    /// Its zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+    /// When we first knew of it.
+    pub since: Instant,
+    /// When it was rented, as far as known.
+    pub rented: Instant,
+    /// Newest report's session and number.
+    pub newest: (u64, u64),
+    /// It has reported our term: no older leader can command it any more.
+    pub fenced: bool,
+    /// When the newest report arrived.
+    pub reported: Option<Instant>,
+    /// When we last answered 200; its lease can't end before that plus the lease's time.
+    pub answered: Option<Instant>,
+    /// When the cloud takes it away.
+    pub leaves: Option<Instant>,
+    /// All starts that may be on it, and exited ones in its reports.
+    pub slots: BTreeMap<SlotId, Slot>,
+    /// Whether the roster in the state service names it.
+    pub rostered: Durable,
+    /// Images it has fetched, most recently used last.
+    pub images: Vec<(String, f64)>,
+    /// Takes no new tasks.
+    pub drain: Option<Drain>,
+    /// A return is under way.
+    pub returning: bool,
+    /// Jobs whose tasks failed on it since the last that completed.
+    pub blame: Vec<JobId>,
+    /// Takes no new tasks until then.
+    pub rests_until: Option<Instant>,
+    /// Since when it has had nothing to do.
+    pub idle_since: Instant,
+    /// What the cloud's list said of it last.
+    pub listed: Listed,
+    /// Since when it has said so.
+    pub listed_since: Instant,
+}
+
+/// A machine's state in the cloud's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// Not seen there.
+    No,
+    /// Booting.
+    Booting,
+    /// Running.
+    Running,
+    /// Stopped by itself.
+    Failed,
+}
+
+impl Machine {
+    /// A machine nothing is known of but its name.
+    pub fn new(id: MachineId, now: Instant) -> Self {
+        Self {
+            id,
+            address: String::new(),
+            build: String::new(),
+            zone: String::new(),
+            spot: false,
+            since: now,
+            rented: now,
+            newest: (0, 0),
+            fenced: false,
+            reported: None,
+            answered: None,
+            leaves: None,
+            slots: BTreeMap::new(),
+            rostered: Durable::No,
+            images: Vec::new(),
+            drain: None,
+            returning: false,
+            blame: Vec::new(),
+            rests_until: None,
+            idle_since: now,
+            listed: Listed::No,
+            listed_since: now,
+        }
+    }
+
+    /// Whether any task may be on it.
+    pub fn busy(&self) -> bool {
+        self.slots.values().any(Slot::occupies)
+    }
+
+    /// What is taken of it, starts not yet confirmed and stops not yet finished included.
+    pub fn taken(&self) -> Amount {
+        let mut sum = Amount::default();
+        for slot in self.slots.values().filter(|slot| slot.occupies()) {
+            if let Some(spec) = &slot.spec {
+                sum.add(&spec.need);
+            }
+        }
+        sum
+    }
+
+    /// Whether something is on it whose size nobody knows.
+    pub fn murky(&self) -> bool {
+        let mut slots = self.slots.values();
+        slots.any(|slot| slot.occupies() && slot.spec.is_none())
+    }
+
+    /// Whether it was up in this term and has been silent for longer than `limit`.
+    pub fn silent(&self, now: Instant, limit: Duration) -> bool {
+        self.reported
+            .is_some_and(|at| now.saturating_duration_since(at) > limit)
+    }
+
+    /// Whether it may get new tasks.
+    pub fn takes_tasks(&self, now: Instant, silence: Duration) -> bool {
+        self.fenced
+            && self.drain.is_none()
+            && !self.returning
+            && self.leaves.is_none()
+            && !self.silent(now, silence)
+            && self.rests_until.is_none_or(|until| now >= until)
+            && !self.murky()
+    }
+
+    /// Whether it has the image, as far as we know.
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    /// Notes that it has just used an image.
+    pub fn used_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push((image.to_owned(), gb));
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while total > cache_gb && self.images.len() > 1 {
+            total -= self.images.remove(0).1;
+        }
+    }
+}
--- /dev/null
+++ b/src/cluster/mod.rs
@@ -0,0 +1,570 @@
+//! The picture the leader rebuilds from reports: the only owner of where a task may be.
+//!
+//! Quota, zones and placement ask here, so that a start not yet confirmed and a stop not yet
+//! finished count the same for all of them. A task leaves a machine only by one of three
+//! proofs: a report of a fenced machine without it, the cloud's confirmation that the machine
+//! is gone, or the end of the worker's lease while we lead and it was fenced by us.
+
+pub mod done;
+pub mod job;
+pub mod machine;
+mod records;
+mod report;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+pub use job::{Job, Place};
+pub use machine::{Drain, Durable, Listed, Machine, Phase, Slot, SlotId, Stop};
+pub use records::{RecordKind, RecordWrite};
+pub use report::Verified;
+
+use crate::config::{secs, Settings};
+use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term, Verdict};
+use crate::store::replica::Replica;
+use crate::wire::{ListedMachine, Order};
+use done::DoneSet;
+
+/// Clocks of two machines may drift apart by this part.
+const DRIFT: f64 = 0.0005;
+/// Added to a worker's lease before we count on its end: timers fire late, and the worker
+/// needs a moment to kill its tasks.
+const LEASE_MARGIN: Duration = Duration::from_secs(1);
+/// Reports missed before a machine counts as silent for placement.
+const QUIET_REPORTS: f64 = 2.5;
+/// Reports missed before a machine is given up and returned.
+const LOST_REPORTS: f64 = 4.0;
+/// A stop is repeated in reports' answers; straight to the machine only after this long.
+const REPEAT_STOP: Duration = Duration::from_secs(2);
+
+/// The workers' timing as durations.
+#[derive(Clone, Debug)]
+pub struct Timing {
+    /// Time between reports.
+    pub report: Duration,
+    /// A worker's lease, as long as it may last on a slow clock, and a margin.
+    pub lease: Duration,
+    /// No placement on a machine silent for that long.
+    pub quiet: Duration,
+    /// A machine silent for that long is given up.
+    pub lost: Duration,
+    /// How soon members of a gang notice a missing one.
+    pub gang_peer: Duration,
+    /// How long a member waits for the others.
+    pub gang_wait: Duration,
+}
+
+impl Timing {
+    /// From the settings.
+    pub fn new(settings: &Settings) -> Self {
+        let w = &settings.params.workers;
+        Self {
+            report: secs(w.report_s),
+            lease: secs(w.lease_s * (1.0 + DRIFT)) + LEASE_MARGIN,
+            quiet: secs(w.report_s * QUIET_REPORTS),
+            lost: secs(w.report_s * LOST_REPORTS),
+            gang_peer: secs(w.gang_peer_s),
+            gang_wait: secs(w.gang_wait_s),
+        }
+    }
+}
+
+/// The machine types as last read, shared read-only.
+pub type Catalog = Arc<Vec<Build>>;
+
+/// Finds a type.
+pub fn build_named<'a>(catalog: &'a Catalog, name: &str) -> Option<&'a Build> {
+    catalog.iter().find(|build| build.name == name)
+}
+
+/// The picture of one term.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Our term.
+    pub term: Term,
+    /// Since when we lead.
+    pub since: Instant,
+    /// Timing of the workers.
+    pub timing: Timing,
+    /// Jobs of which a task may be anywhere, or has to run.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Machines.
+    pub machines: BTreeMap<MachineId, Machine>,
+    /// Machines of earlier terms that neither reported our term nor are gone.
+    pub unsettled: BTreeSet<MachineId>,
+    /// Something happened that a round should look at.
+    pub dirty: bool,
+    /// Waits from submission to first run, not yet taken by the metrics.
+    pub waits: Vec<Duration>,
+    /// Submissions per class, for the expected demand.
+    pub arrivals: Vec<(Instant, Arc<crate::model::JobSpec>)>,
+    departed: BTreeSet<MachineId>,
+    attempts: u32,
+    chunk: usize,
+    roster: records::Roster,
+    catalog: Catalog,
+}
+
+impl Cluster {
+    /// Takes over: reads the records and trusts nothing else.
+    pub fn take_over(
+        term: Term,
+        settings: &Settings,
+        replica: &Replica,
+        catalog: Catalog,
+        now: Instant,
+        wall: SystemTime,
+    ) -> Self {
+        let roster = records::Roster::load(&replica.roster, settings.params.state.value_kb);
+        let unsettled: BTreeSet<MachineId> = roster.machines().cloned().collect();
+        let mut cluster = Self {
+            term,
+            since: now,
+            timing: Timing::new(settings),
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            unsettled,
+            dirty: true,
+            waits: Vec::new(),
+            arrivals: Vec::new(),
+            departed: BTreeSet::new(),
+            attempts: 0,
+            chunk: done::chunk_size(settings.params.state.value_kb),
+            roster,
+            catalog,
+        };
+        let rostered: Vec<MachineId> = cluster.unsettled.iter().cloned().collect();
+        for id in rostered {
+            let mut machine = Machine::new(id.clone(), now);
+            machine.rostered = Durable::Yes;
+            cluster.machines.insert(id, machine);
+        }
+        let ids: Vec<JobId> = replica.live.keys().cloned().collect();
+        for id in ids {
+            cluster.sync_job(&id, replica, now, wall, true);
+        }
+        cluster
+    }
+
+    /// Takes a new catalog.
+    pub fn set_catalog(&mut self, catalog: Catalog) {
+        self.catalog = catalog;
+    }
+
+    /// The catalog in use.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
+    /// Takes what the records now say of a job.
+    pub fn sync_job(
+        &mut self,
+        id: &JobId,
+        replica: &Replica,
+        now: Instant,
+        wall: SystemTime,
+        taking_over: bool,
+    ) {
+        let Some(verdict) = replica.jobs.get(id) else {
+            return;
+        };
+        if let Some(job) = self.jobs.get_mut(id) {
+            if verdict.version > job.version {
+                job.version = verdict.version;
+                job.verdict = verdict.record.0;
+                self.dirty = true;
+                if job.verdict == Verdict::Cancelled {
+                    self.stop_job(id, 0.0);
+                }
+            }
+            // Our own retirement of the job: the records are gone, and so are its tasks.
+            if !replica.live.contains_key(id) && verdict.record.0 != Verdict::Accepted {
+                self.forget_job(id);
+            }
+            return;
+        }
+        let Some(live) = replica.live.get(id) else {
+            return;
+        };
+        let record = &live.record;
+        let wall_ms = wall
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .map_or(0, |d| d.as_millis() as u64);
+        let age = Duration::from_millis(wall_ms.saturating_sub(record.submitted_ms));
+        let mut done = DoneSet::new(record.spec.tasks, self.chunk);
+        for (chunk, digits) in replica.done_chunks(id) {
+            done.mark_durable(chunk, &digits.bits);
+        }
+        let spec = Arc::new(record.spec.clone());
+        if !taking_over {
+            self.arrivals.push((now, spec.clone()));
+        }
+        let job = Job {
+            spec,
+            submitted: now.checked_sub(age).unwrap_or(now),
+            submitted_ms: record.submitted_ms,
+            version: verdict.version,
+            verdict: verdict.record.0,
+            started: if record.started {
+                Durable::Yes
+            } else {
+                Durable::No
+            },
+            inherited: record.started,
+            done,
+            places: BTreeMap::new(),
+            attempt: None,
+            begun: false,
+            stopping: false,
+            rests_until: None,
+            failed_on: BTreeSet::new(),
+            writing: false,
+            first_run: None,
+            waits_for: "its first round",
+        };
+        self.jobs.insert(id.clone(), job);
+        self.dirty = true;
+    }
+
+    fn forget_job(&mut self, id: &JobId) {
+        if self.jobs.remove(id).is_some() {
+            for machine in self.machines.values_mut() {
+                machine.slots.retain(|slot, state| {
+                    // What was never sent needs no memory; the rest stays until it is gone.
+                    slot.task.job != *id || state.sent()
+                });
+            }
+        }
+    }
+
+    /// A new attempt number; never given out before in any term.
+    pub fn next_attempt(&mut self) -> Attempt {
+        self.attempts += 1;
+        Attempt::of(self.term, self.attempts)
+    }
+
+    /// Whether tasks of the job may be somewhere we have not heard from yet.
+    pub fn blocked(&self, job: &Job) -> bool {
+        job.inherited && !self.unsettled.is_empty()
+    }
+
+    /// What each team may be using at most right now.
+    pub fn team_use(&self) -> HashMap<&str, Amount> {
+        let mut sums: HashMap<&str, Amount> = HashMap::new();
+        for job in self.jobs.values() {
+            let mut count: usize = job.places.values().map(Vec::len).sum();
+            if self.blocked(job) {
+                // Tasks of an inherited job that nobody reported may be running unseen.
+                count += job.pending_count() as usize;
+            }
+            if count > 0 {
+                let sum = sums.entry(job.spec.team.as_str()).or_default();
+                sum.add(&job.spec.need.times(count as u32));
+            }
+        }
+        sums
+    }
+
+    /// Plans a start. Nothing is sent before [`Cluster::answer`] finds it safe.
+    pub fn plan(&mut self, task: &TaskId, machine: &MachineId, attempt: Attempt, now: Instant) {
+        let (Some(job), Some(host)) =
+            (self.jobs.get_mut(&task.job), self.machines.get_mut(machine))
+        else {
+            return;
+        };
+        let place = Place {
+            machine: machine.clone(),
+            attempt,
+        };
+        job.places.entry(task.index).or_default().push(place);
+        if job.gang() {
+            job.attempt = Some(attempt);
+        }
+        let slot = Slot {
+            spec: Some(job.spec.clone()),
+            phase: Phase::Planned,
+            since: now,
+            running_since: None,
+            stop: None,
+        };
+        let id = SlotId {
+            task: task.clone(),
+            attempt,
+        };
+        host.slots.insert(id, slot);
+    }
+
+    /// Wants a task stopped. A start that was never sent is simply dropped.
+    pub fn stop(&mut self, machine: &MachineId, slot: &SlotId, grace_s: f64) {
+        let Some(host) = self.machines.get_mut(machine) else {
+            return;
+        };
+        let Some(state) = host.slots.get_mut(slot) else {
+            return;
+        };
+        if !state.sent() {
+            self.drop_slot(machine, slot);
+            return;
+        }
+        if !state.occupies() {
+            return;
+        }
+        match &mut state.stop {
+            // A cancellation overrides a save that is under way.
+            Some(stop) if grace_s < stop.grace_s => {
+                *stop = Stop {
+                    grace_s,
+                    told: None,
+                }
+            }
+            Some(_) => {}
+            none => {
+                *none = Some(Stop {
+                    grace_s,
+                    told: None,
+                })
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// Wants all tasks of a job stopped.
+    pub fn stop_job(&mut self, id: &JobId, grace_s: f64) {
+        for (machine, slot) in self.slots_of(id) {
+            self.stop(&machine, &slot, grace_s);
+        }
+    }
+
+    /// All places of a job.
+    pub fn slots_of(&self, id: &JobId) -> Vec<(MachineId, SlotId)> {
+        let Some(job) = self.jobs.get(id) else {
+            return Vec::new();
+        };
+        let mut slots = Vec::new();
+        for (index, places) in &job.places {
+            for place in places {
+                let task = TaskId {
+                    job: id.clone(),
+                    index: *index,
+                };
+                let slot = SlotId {
+                    task,
+                    attempt: place.attempt,
+                };
+                slots.push((place.machine.clone(), slot));
+            }
+        }
+        slots
+    }
+
+    /// Stops a gang's present attempt, with time to save if it saves.
+    pub fn stop_gang(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.stopping = true;
+        let grace = if job.spec.saves() {
+            job.spec.grace()
+        } else {
+            0.0
+        };
+        self.stop_job(id, grace);
+    }
+
+    /// Removes a start from both sides of the picture.
+    fn drop_slot(&mut self, machine: &MachineId, slot: &SlotId) {
+        if let Some(host) = self.machines.get_mut(machine) {
+            host.slots.remove(slot);
+        }
+        self.leave(machine, slot);
+    }
+
+    /// The task is not on that machine any more (it never was, it exited, or it is gone).
+    fn leave(&mut self, machine: &MachineId, slot: &SlotId) {
+        let Some(job) = self.jobs.get_mut(&slot.task.job) else {
+            return;
+        };
+        if let Some(places) = job.places.get_mut(&slot.task.index) {
+            places.retain(|p| p.machine != *machine || p.attempt != slot.attempt);
+            if places.is_empty() {
+                job.places.remove(&slot.task.index);
+            }
+        }
+        if job.places.is_empty() {
+            // The attempt is over; the next one starts fresh.
+            job.attempt = None;
+            job.begun = false;
+            job.stopping = false;
+        }
+        self.dirty = true;
+    }
+
+    /// The machine is gone for sure, and all that was on it.
+    pub fn machine_gone(&mut self, id: &MachineId) {
+        if let Some(machine) = self.machines.remove(id) {
+            for slot in machine.slots.keys() {
+                self.leave(id, slot);
+            }
+        }
+        self.unsettled.remove(id);
+        self.roster.remove(id);
+        // Reports of it may still be on their way; they must not bring it back.
+        self.departed.insert(id.clone());
+        if self.departed.len() > DEPARTED_KEPT {
+            self.departed.pop_first();
+        }
+        self.dirty = true;
+    }
+
+    /// Takes machines the cloud has given us.
+    pub fn hired(&mut self, names: &[String], offer: &crate::fleet::Offer, now: Instant) {
+        for name in names {
+            let id = MachineId(name.as_str().into());
+            if self.departed.contains(&id) {
+                continue;
+            }
+            let machine = self.machines.entry(id.clone());
+            let machine = machine.or_insert_with(|| Machine::new(id, now));
+            machine.build.clone_from(&offer.build);
+            machine.zone.clone_from(&offer.zone);
+            machine.spot = offer.spot;
+        }
+    }
+
+    /// Takes the cloud's list. It lags, so absence from it proves nothing.
+    pub fn listed(&mut self, list: &[ListedMachine], now: Instant) {
+        for entry in list {
+            let id = MachineId(entry.id.as_str().into());
+            if self.departed.contains(&id) {
+                continue;
+            }
+            let machine = self.machines.entry(id.clone());
+            let machine = machine.or_insert_with(|| Machine::new(id, now));
+            if machine.reported.is_none() {
+                machine.build.clone_from(&entry.build);
+                machine.zone.clone_from(&entry.zone);
+                machine.spot = entry.spot;
+                let rented = now.checked_sub(secs(entry.age_s)).unwrap_or(now);
+                machine.rented = rented.min(machine.rented);
+            }
+            let listed = match entry.status.as_str() {
+                "booting" => Listed::Booting,
+                "failed" => Listed::Failed,
+                _ => Listed::Running,
+            };
+            if machine.listed != listed {
+                machine.listed = listed;
+                machine.listed_since = now;
+            }
+        }
+    }
+
+    /// Ends what time alone ends. Only to be called while we lead.
+    pub fn expire(&mut self, now: Instant) {
+        let lease = self.timing.lease;
+        let quiet = self.timing.quiet;
+        let mut over = Vec::new();
+        for (id, machine) in &self.machines {
+            let lease_over = machine.fenced
+                && machine
+                    .answered
+                    .is_some_and(|at| now.saturating_duration_since(at) > lease);
+            let silent = machine.silent(now, quiet);
+            for (slot, state) in &machine.slots {
+                // Silence frees a plan, since nothing was sent; a start needs proof.
+                let drop_plan = silent && !state.sent();
+                if drop_plan || (lease_over && state.sent()) {
+                    over.push((id.clone(), slot.clone()));
+                }
+            }
+        }
+        for (machine, slot) in over {
+            self.drop_slot(&machine, &slot);
+        }
+        let recent = now.checked_sub(ARRIVALS_KEPT);
+        self.arrivals
+            .retain(|(at, _)| recent.is_none_or(|recent| *at >= recent));
+    }
+
+    /// Machines with stops to be sent straight away, with those stops.
+    pub fn direct_orders(&mut self, now: Instant) -> Vec<(MachineId, String, u64, Vec<Order>)> {
+        let mut all = Vec::new();
+        for machine in self.machines.values_mut() {
+            if machine.address.is_empty() || !machine.fenced {
+                continue;
+            }
+            let mut orders = Vec::new();
+            for (id, slot) in &mut machine.slots {
+                if let Some(order) = stop_order(id, slot, now) {
+                    orders.push(order);
+                }
+            }
+            if !orders.is_empty() {
+                all.push((
+                    machine.id.clone(),
+                    machine.address.clone(),
+                    machine.newest.0,
+                    orders,
+                ));
+            }
+        }
+        all
+    }
+
+    /// Number of completed and of running tasks of one job, for display.
+    pub fn count(&self, id: &JobId) -> (u32, u32) {
+        let Some(job) = self.jobs.get(id) else {
+            return (0, 0);
+        };
+        let running = self.slots_of(id).into_iter().filter(|(machine, slot)| {
+            let machine = self.machines.get(machine);
+            let slot = machine.and_then(|machine| machine.slots.get(slot));
+            slot.is_some_and(|s| matches!(s.phase, Phase::Running | Phase::Flushing))
+        });
+        (job.done.len(), running.count() as u32)
+    }
+
+    /// Number of completed and of running tasks of each job, for display.
+    pub fn counts(&self) -> Vec<(JobId, u32, u32)> {
+        let mut running: HashMap<&JobId, u32> = HashMap::new();
+        for machine in self.machines.values() {
+            for (slot, state) in &machine.slots {
+                if matches!(state.phase, Phase::Running | Phase::Flushing) {
+                    *running.entry(&slot.task.job).or_default() += 1;
+                }
+            }
+        }
+        self.jobs
+            .iter()
+            .map(|(id, job)| {
+                let running = running.get(id).copied().unwrap_or(0);
+                (id.clone(), job.done.len(), running)
+            })
+            .collect()
+    }
+}
+
+/// Returned machines remembered. Their late reports come within minutes, not days.
+const DEPARTED_KEPT: usize = 4096;
+/// How long submissions are remembered for the expected demand.
+const ARRIVALS_KEPT: Duration = Duration::from_secs(180);
+
+/// The stop to send for a slot now, if one is due.
+fn stop_order(id: &SlotId, slot: &mut Slot, now: Instant) -> Option<Order> {
+    let sent = slot.sent() && slot.occupies();
+    let stop = slot.stop.as_mut().filter(|_| sent)?;
+    let saving = slot.phase == Phase::Flushing && stop.grace_s > 0.0;
+    let recent = stop
+        .told
+        .is_some_and(|at| now.saturating_duration_since(at) < REPEAT_STOP);
+    if saving || recent {
+        return None;
+    }
+    stop.told = Some(now);
+    Some(Order::Kill {
+        task: id.task.to_string(),
+        attempt: id.attempt.0,
+        grace_s: stop.grace_s,
+    })
+}
--- /dev/null
+++ b/src/cluster/records.rs
@@ -0,0 +1,247 @@
+//! What of the picture has to be written down before something else may happen.
+//!
+//! Written per job and per batch, never per task: the started flag before a first start, the
+//! completed tasks before their `clear`, the verdict, and the roster of machines.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::machine::Durable;
+use super::Cluster;
+use crate::model::{JobId, MachineId, Verdict};
+use crate::store::keys::{self, DoneRecord, JobRecord, LiveRecord, RosterRecord};
+use crate::store::{to_value, Change, Condition, Group, Outcome};
+
+/// Bytes a machine's name takes in a shard, envelope included.
+const NAME_BYTES: f64 = 32.0;
+/// Part of a value that a shard fills.
+const SHARD_FILL: f64 = 0.5;
+/// Machines gone from the fleet before the roster is written just to drop them.
+const DROPS_PER_WRITE: usize = 4;
+
+/// The machines that may hold tasks, in shards that each fit a value.
+#[derive(Debug, Default)]
+pub struct Roster {
+    shards: BTreeMap<usize, BTreeSet<MachineId>>,
+    capacity: usize,
+    added: BTreeSet<usize>,
+    removed: BTreeMap<usize, usize>,
+    writing: BTreeSet<usize>,
+}
+
+impl Roster {
+    /// From the records.
+    pub fn load(records: &BTreeMap<usize, RosterRecord>, value_kb: f64) -> Self {
+        let shards = records
+            .iter()
+            .map(|(shard, record)| {
+                let names = record.machines.iter();
+                let names = names.map(|name| MachineId(name.as_str().into()));
+                (*shard, names.collect())
+            })
+            .collect();
+        let capacity = (value_kb * 1024.0 * SHARD_FILL / NAME_BYTES).max(1.0) as usize;
+        Self {
+            shards,
+            capacity,
+            ..Self::default()
+        }
+    }
+
+    /// All machines named.
+    pub fn machines(&self) -> impl Iterator<Item = &MachineId> {
+        self.shards.values().flatten()
+    }
+
+    fn add(&mut self, id: &MachineId) {
+        if self.shards.values().any(|shard| shard.contains(id)) {
+            return;
+        }
+        let room = self.shards.iter().find(|(_, s)| s.len() < self.capacity);
+        let next = self.shards.keys().next_back().map_or(0, |last| last + 1);
+        let shard = room.map_or(next, |(shard, _)| *shard);
+        self.shards.entry(shard).or_default().insert(id.clone());
+        self.added.insert(shard);
+    }
+
+    /// The machine is gone. The record follows with the next write.
+    pub fn remove(&mut self, id: &MachineId) {
+        for (shard, names) in &mut self.shards {
+            if names.remove(id) {
+                *self.removed.entry(*shard).or_default() += 1;
+            }
+        }
+    }
+
+    fn due(&mut self) -> Vec<(usize, Vec<MachineId>)> {
+        let due: Vec<usize> = self
+            .shards
+            .keys()
+            .filter(|shard| !self.writing.contains(shard))
+            .filter(|shard| {
+                let removed = self.removed.get(shard).copied().unwrap_or(0);
+                self.added.contains(shard) || removed >= DROPS_PER_WRITE
+            })
+            .copied()
+            .collect();
+        due.into_iter()
+            .map(|shard| {
+                self.writing.insert(shard);
+                self.added.remove(&shard);
+                self.removed.remove(&shard);
+                (shard, self.shards[&shard].iter().cloned().collect())
+            })
+            .collect()
+    }
+}
+
+/// What a write is for, so that its outcome can be taken in.
+#[derive(Debug, Clone)]
+pub enum RecordKind {
+    /// The job's started flag.
+    Started(JobId),
+    /// A chunk of the job's completed tasks.
+    Done(JobId, usize, String),
+    /// The verdict `done`; the job's other records go with it.
+    Finished(JobId),
+    /// A cancelled job's records go.
+    Retired(JobId),
+    /// A shard of the roster.
+    Roster(usize, Vec<MachineId>),
+}
+
+/// A write the picture waits for.
+#[derive(Debug, Clone)]
+pub struct RecordWrite {
+    /// What it is for.
+    pub kind: RecordKind,
+    /// Conditions and changes; the leader's own condition is added by who sends it.
+    pub group: Group,
+}
+
+impl Cluster {
+    /// The writes that are due. Each is marked as under way until
+    /// [`Cluster::written`] takes its outcome.
+    pub fn due_writes(&mut self) -> Vec<RecordWrite> {
+        let mut writes = Vec::new();
+        let unsettled = !self.unsettled.is_empty();
+        for (id, job) in &mut self.jobs {
+            if job.writing {
+                continue;
+            }
+            let when = vec![Condition::new(keys::job(id), job.version)];
+            let all_done = job.done.len() == job.spec.tasks;
+            let records_go = |job: &super::Job| {
+                let mut apply = vec![Change::delete(keys::live(id))];
+                let chunks = (0..job.done.chunks()).filter(|c| job.done.chunk_written(*c));
+                apply.extend(chunks.map(|chunk| Change::delete(keys::done(id, chunk))));
+                apply
+            };
+            let write = match job.verdict {
+                Verdict::Accepted if all_done && !job.placed() => {
+                    let record = JobRecord {
+                        verdict: Verdict::Done,
+                        tasks: job.spec.tasks,
+                    };
+                    let mut apply = vec![Change::put(keys::job(id), to_value(&record))];
+                    apply.extend(records_go(job));
+                    Some((RecordKind::Finished(id.clone()), apply))
+                }
+                Verdict::Cancelled if !job.placed() && !(job.inherited && unsettled) => {
+                    Some((RecordKind::Retired(id.clone()), records_go(job)))
+                }
+                Verdict::Accepted if job.placed() && job.started == Durable::No => {
+                    let record = LiveRecord {
+                        spec: (*job.spec).clone(),
+                        submitted_ms: job.submitted_ms,
+                        started: true,
+                    };
+                    job.started = Durable::Writing;
+                    let apply = vec![Change::put(keys::live(id), to_value(&record))];
+                    Some((RecordKind::Started(id.clone()), apply))
+                }
+                Verdict::Accepted => job.done.dirty_chunk().map(|chunk| {
+                    let bits = job.done.encode(chunk);
+                    let record = DoneRecord { bits: bits.clone() };
+                    let key = keys::done(id, chunk);
+                    let kind = RecordKind::Done(id.clone(), chunk, bits);
+                    (kind, vec![Change::put(key, to_value(&record))])
+                }),
+                Verdict::Cancelled | Verdict::Done => None,
+            };
+            if let Some((kind, apply)) = write {
+                job.writing = true;
+                let group = Group { when, apply };
+                writes.push(RecordWrite { kind, group });
+            }
+        }
+        for machine in self.machines.values_mut() {
+            if machine.reported.is_some() && machine.rostered == Durable::No {
+                machine.rostered = Durable::Writing;
+                self.roster.add(&machine.id);
+            }
+        }
+        for (shard, names) in self.roster.due() {
+            let record = RosterRecord {
+                machines: names.iter().map(|id| id.0.to_string()).collect(),
+            };
+            let apply = vec![Change::put(keys::roster(shard), to_value(&record))];
+            writes.push(RecordWrite {
+                kind: RecordKind::Roster(shard, names),
+                group: Group {
+                    when: Vec::new(),
+                    apply,
+                },
+            });
+        }
+        writes
+    }
+
+    /// Takes a write's outcome. Whatever is not known to be written is written again.
+    pub fn written(&mut self, kind: &RecordKind, outcome: &Outcome) {
+        let ok = outcome.committed();
+        self.dirty = true;
+        match kind {
+            RecordKind::Started(id) => {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.writing = false;
+                    job.started = if ok { Durable::Yes } else { Durable::No };
+                }
+            }
+            RecordKind::Done(id, chunk, bits) => {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.writing = false;
+                    if ok {
+                        job.done.mark_durable(*chunk, bits);
+                    }
+                }
+            }
+            RecordKind::Finished(id) => {
+                if ok {
+                    self.forget_job(id);
+                } else if let Some(job) = self.jobs.get_mut(id) {
+                    job.writing = false;
+                }
+            }
+            RecordKind::Retired(id) => {
+                if ok {
+                    self.forget_job(id);
+                } else if let Some(job) = self.jobs.get_mut(id) {
+                    job.writing = false;
+                }
+            }
+            RecordKind::Roster(shard, names) => {
+                self.roster.writing.remove(shard);
+                if !ok {
+                    self.roster.added.insert(*shard);
+                }
+                for id in names {
+                    if let Some(machine) = self.machines.get_mut(id) {
+                        if ok {
+                            machine.rostered = Durable::Yes;
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cluster/report.rs
@@ -0,0 +1,341 @@
+//! What a worker's report does to the picture, and what it is answered.
+
+use std::time::Instant;
+
+use tracing::{debug, info, warn};
+
+use super::machine::{Drain, Durable, Machine, Phase, Slot, SlotId};
+use super::{build_named, stop_order, Cluster, Place};
+use crate::config::secs;
+use crate::model::{Attempt, JobId, MachineId, TaskId, Verdict};
+use crate::wire::{Cause, Order, Report, TaskPhase};
+
+/// Distinct jobs that fail on a machine before it is given up. One job alone may be at fault
+/// itself.
+const JOBS_TO_BLAME: usize = 2;
+/// Machines on which a job fails before the job is blamed and no machine.
+const MACHINES_TO_BLAME: usize = 3;
+/// How long a machine rests after a failure, so that a faulty one does not draw all tasks.
+const REST_AFTER_FAILURE_S: f64 = 10.0;
+/// How long a job rests after a failure, for every machine it failed on.
+const REST_AFTER_FAULT_S: f64 = 15.0;
+/// How long a task waits after a refused start, until the picture is right again.
+const REST_AFTER_REFUSAL_S: f64 = 3.0;
+
+/// A report whose (session, number) was compared with what we have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verified {
+    /// Newer than all before.
+    Newer,
+    /// Old: nothing in it counts.
+    Older,
+    /// The worker has seen a higher term than ours.
+    Deposed,
+}
+
+impl Cluster {
+    /// Takes a report. `own` marks one that the worker sent by itself: only such a report
+    /// shows what became of starts sent in the answer to the one before.
+    pub fn report(&mut self, report: &Report, own: bool, now: Instant) -> Verified {
+        if report.token > self.term.0 {
+            return Verified::Deposed;
+        }
+        let id = MachineId(report.machine.as_str().into());
+        if self.departed.contains(&id) {
+            return Verified::Older;
+        }
+        let machine = self
+            .machines
+            .entry(id.clone())
+            .or_insert_with(|| Machine::new(id.clone(), now));
+        let newest = (report.session, report.seq);
+        if machine.reported.is_some() && newest <= machine.newest {
+            return Verified::Older;
+        }
+        machine.newest = newest;
+        if machine.reported.is_none() {
+            self.dirty = true;
+            machine.idle_since = now;
+        }
+        machine.reported = Some(now);
+        machine.address.clone_from(&report.address);
+        machine.build.clone_from(&report.build);
+        machine.zone.clone_from(&report.zone);
+        machine.spot = report.spot;
+        let leaves = report.notice_s.map(|s| now + secs(s));
+        if machine.leaves.is_some() != leaves.is_some() {
+            info!(machine = %id, notice_s = ?report.notice_s, "spot notice");
+            self.dirty = true;
+        }
+        machine.leaves = leaves;
+        machine.fenced = report.token == self.term.0;
+        let fenced = machine.fenced;
+        let was_busy = machine.busy();
+
+        let mut listed = Vec::with_capacity(report.tasks.len());
+        for reported in &report.tasks {
+            let Some(task) = TaskId::parse(&reported.task) else {
+                continue;
+            };
+            let slot = SlotId {
+                task,
+                attempt: Attempt(reported.attempt),
+            };
+            let phase = match reported.phase {
+                TaskPhase::Pulling => Phase::Pulling,
+                TaskPhase::Gathering => Phase::Gathering,
+                TaskPhase::Running => Phase::Running,
+                TaskPhase::Flushing => Phase::Flushing,
+                TaskPhase::Exited => Phase::Exited(reported.cause.unwrap_or(Cause::Other)),
+            };
+            self.see(&id, &slot, phase, now);
+            listed.push(slot);
+        }
+        if fenced {
+            self.settle(&id, newest, own, &listed);
+            if self.unsettled.remove(&id) {
+                self.dirty = true;
+                if self.unsettled.is_empty() {
+                    info!(term = self.term.0, "all machines settled");
+                }
+            }
+        }
+        if let Some(machine) = self.machines.get_mut(&id) {
+            if was_busy && !machine.busy() {
+                machine.idle_since = now;
+                self.dirty = true;
+            }
+        }
+        Verified::Newer
+    }
+
+    /// Removes what a fenced machine's report does not show any more.
+    fn settle(&mut self, id: &MachineId, newest: (u64, u64), own: bool, listed: &[SlotId]) {
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        let gone: Vec<SlotId> = machine
+            .slots
+            .iter()
+            .filter(|(slot, _)| !listed.contains(slot))
+            .filter(|(_, state)| match state.phase {
+                Phase::Planned => false,
+                // A direct command's answer may overtake the answer that carried the start.
+                Phase::Sent { session, seq } => {
+                    newest.0 > session || (own && newest > (session, seq))
+                }
+                _ => true,
+            })
+            .map(|(slot, _)| slot.clone())
+            .collect();
+        for slot in gone {
+            debug!(machine = %id, task = %slot.task, "gone");
+            self.drop_slot(id, &slot);
+        }
+    }
+
+    /// Takes one task of a report.
+    fn see(&mut self, id: &MachineId, slot: &SlotId, phase: Phase, now: Instant) {
+        let spec = self.jobs.get(&slot.task.job).map(|job| job.spec.clone());
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let known = machine.slots.contains_key(slot);
+        let state = machine.slots.entry(slot.clone()).or_insert_with(|| Slot {
+            spec,
+            phase: Phase::Pulling,
+            since: now,
+            running_since: None,
+            stop: None,
+        });
+        let before = state.phase;
+        let first_seen = !known || matches!(before, Phase::Planned | Phase::Sent { .. });
+        state.phase = phase;
+        if phase == Phase::Running && state.running_since.is_none() {
+            state.running_since = Some(now);
+        }
+        let has_image = matches!(
+            phase,
+            Phase::Gathering | Phase::Running | Phase::Exited(Cause::Done)
+        );
+        let spec = state.spec.clone();
+        if let (true, Some(spec)) = (has_image && before != phase, &spec) {
+            let cache = build_named(&self.catalog, &machine.build).map_or(0.0, |b| b.cache_gb);
+            machine.used_image(&spec.image, spec.image_gb, cache);
+        }
+        if before == phase && known {
+            return;
+        }
+        self.dirty = true;
+        match phase {
+            Phase::Exited(cause) => {
+                self.exited(id, slot, cause, first_seen || before != phase, now)
+            }
+            _ => {
+                if !known {
+                    self.adopt(id, slot);
+                }
+                if phase == Phase::Running {
+                    self.runs(slot, now);
+                }
+            }
+        }
+    }
+
+    /// A task that we did not plan is on the machine: an earlier leader's.
+    fn adopt(&mut self, id: &MachineId, slot: &SlotId) {
+        let Some(job) = self.jobs.get_mut(&slot.task.job) else {
+            return;
+        };
+        if slot.task.index >= job.spec.tasks {
+            return;
+        }
+        let place = Place {
+            machine: id.clone(),
+            attempt: slot.attempt,
+        };
+        let places = job.places.entry(slot.task.index).or_default();
+        if !places.contains(&place) {
+            places.push(place);
+        }
+        if job.gang() && job.attempt.is_none_or(|attempt| attempt < slot.attempt) {
+            job.attempt = Some(slot.attempt);
+        }
+    }
+
+    fn runs(&mut self, slot: &SlotId, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&slot.task.job) else {
+            return;
+        };
+        if job.attempt == Some(slot.attempt) {
+            job.begun = true;
+        }
+        if job.first_run.is_none() {
+            job.first_run = Some(now);
+            let wait = now.saturating_duration_since(job.submitted);
+            self.waits.push(wait);
+        }
+    }
+
+    /// A task has ended.
+    fn exited(&mut self, id: &MachineId, slot: &SlotId, cause: Cause, new: bool, now: Instant) {
+        self.leave(id, slot);
+        if !new {
+            return;
+        }
+        let job_id = &slot.task.job;
+        debug!(machine = %id, task = %slot.task, ?cause, "exited");
+        match cause {
+            Cause::Done => {
+                if let Some(job) = self.jobs.get_mut(job_id) {
+                    job.done.insert(slot.task.index);
+                }
+                if let Some(machine) = self.machines.get_mut(id) {
+                    machine.blame.clear();
+                }
+            }
+            Cause::Error => self.failed(id, job_id, now),
+            Cause::NoRoom | Cause::InUse | Cause::Unknown => {
+                warn!(machine = %id, task = %slot.task, ?cause, "start refused");
+                if let Some(job) = self.jobs.get_mut(job_id) {
+                    job.rests_until = Some(now + secs(REST_AFTER_REFUSAL_S));
+                }
+            }
+            Cause::Stopped | Cause::MatesGone | Cause::Alone | Cause::Other => {}
+        }
+    }
+
+    fn failed(&mut self, id: &MachineId, job_id: &JobId, now: Instant) {
+        let Some(job) = self.jobs.get_mut(job_id) else {
+            return;
+        };
+        job.failed_on.insert(id.clone());
+        let machines = job.failed_on.len();
+        if machines >= MACHINES_TO_BLAME {
+            // Its user made a mistake; it goes on being tried, ever more rarely.
+            job.rests_until = Some(now + secs(REST_AFTER_FAULT_S * machines as f64));
+            let failed_on = job.failed_on.clone();
+            for machine in failed_on {
+                if let Some(machine) = self.machines.get_mut(&machine) {
+                    machine.blame.retain(|blamed| blamed != job_id);
+                    if machine.drain == Some(Drain::Sick) && machine.blame.is_empty() {
+                        machine.drain = None;
+                    }
+                }
+            }
+            return;
+        }
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if !machine.blame.contains(job_id) {
+            machine.blame.push(job_id.clone());
+        }
+        machine.rests_until = Some(now + secs(REST_AFTER_FAILURE_S));
+        if machine.blame.len() >= JOBS_TO_BLAME && machine.drain.is_none() {
+            warn!(machine = %id, jobs = ?machine.blame, "tasks of several jobs fail here");
+            machine.drain = Some(Drain::Sick);
+        }
+    }
+
+    /// Notes that a machine gets a 200 of ours, whatever it is told: its lease may be renewed.
+    pub fn touch(&mut self, id: &MachineId, now: Instant) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.answered = Some(now);
+        }
+    }
+
+    /// What a machine is told in the answer to its newest report. Starts go out here only:
+    /// the worker drops an answer that comes late, so nothing sent here is executed late.
+    pub fn answer(&mut self, id: &MachineId, now: Instant) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let Some(machine) = self.machines.get_mut(id) else {
+            return orders;
+        };
+        machine.answered = Some(now);
+        let (session, seq) = machine.newest;
+        let can_start =
+            machine.takes_tasks(now, self.timing.quiet) && machine.rostered == Durable::Yes;
+        for (slot, state) in &mut machine.slots {
+            let job = self.jobs.get(&slot.task.job);
+            if let Phase::Exited(cause) = state.phase {
+                let keep = cause == Cause::Done
+                    && job.is_some_and(|job| {
+                        job.verdict == Verdict::Accepted && !job.done.is_durable(slot.task.index)
+                    });
+                if !keep {
+                    orders.push(Order::Clear {
+                        task: slot.task.to_string(),
+                        attempt: slot.attempt.0,
+                    });
+                }
+                continue;
+            }
+            let wanted = job.is_some_and(|job| {
+                job.verdict == Verdict::Accepted && !job.done.contains(slot.task.index)
+            });
+            if !wanted && state.sent() && state.stop.is_none_or(|stop| stop.grace_s > 0.0) {
+                state.stop = Some(super::Stop {
+                    grace_s: 0.0,
+                    told: None,
+                });
+            }
+            if let Some(stop) = &mut state.stop {
+                // Every report of the machine's shows whether the stop has arrived.
+                stop.told = None;
+            }
+            if let Some(order) = stop_order(slot, state, now) {
+                orders.push(order);
+            }
+            let durable = job.is_some_and(|job| job.started == Durable::Yes);
+            if state.phase == Phase::Planned && wanted && durable && can_start {
+                state.phase = Phase::Sent { session, seq };
+                orders.push(Order::Run {
+                    task: slot.task.to_string(),
+                    attempt: slot.attempt.0,
+                });
+            }
+        }
+        orders
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,276 @@
+//! The settings file the platform hands over: read once, checked, then shared read-only.
+//!
+//! Unknown fields are ignored, because the platform may add some at any time.
+
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+/// Why a settings file can't be used. Each message names the file or the field at fault.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The file can't be read at all.
+    #[error("cannot read settings file {path}: {source}")]
+    Unreadable {
+        /// The path as it was given.
+        path: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// Not TOML, or a field is missing or of the wrong kind.
+    #[error("settings file {path} is wrong: {reason}")]
+    Malformed {
+        /// The path as it was given.
+        path: String,
+        /// The reason on one line.
+        reason: String,
+    },
+    /// A field was read but its value makes no sense.
+    #[error("settings field `{field}` is wrong: {reason}")]
+    Invalid {
+        /// The field, with its tables.
+        field: String,
+        /// What is expected.
+        reason: String,
+    },
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Peer {
+    /// Its name.
+    pub member: String,
+    /// Its zone.
+    #[serde(default)]
+    pub area: String,
+    /// Where its `peer_bind` can be reached.
+    pub peer_addr: SocketAddrV4,
+}
+
+/// The systems outside.
+#[derive(Debug, Clone, Deserialize)]
+pub struct External {
+    /// The cloud's interface.
+    pub cloud: SocketAddrV4,
+    /// The state service.
+    pub state: SocketAddrV4,
+}
+
+/// A team's guarantee and limit; 0 means that the resource is not managed for it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct TeamSettings {
+    /// The team's name.
+    pub name: String,
+    /// Guaranteed processors.
+    #[serde(default)]
+    pub cpus: f64,
+    /// Most processors at any time.
+    #[serde(default)]
+    pub cpus_max: f64,
+    /// Guaranteed graphics cards.
+    #[serde(default)]
+    pub gpus: f64,
+    /// Most graphics cards at any time.
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// One of the operators' aims on starting and finishing.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    /// `wait`, `finished` or `deadline`.
+    pub kind: String,
+    /// The class of jobs it speaks of.
+    #[serde(default)]
+    pub class: String,
+    /// The time allowed, where the kind has one.
+    pub within_s: Option<f64>,
+}
+
+/// The workers' timing.
+#[derive(Debug, Clone, Deserialize)]
+pub struct WorkerSettings {
+    /// Time between two reports.
+    pub report_s: f64,
+    /// A worker without an answered report for that long kills all.
+    pub lease_s: f64,
+    /// How long a gang's member waits for the others.
+    pub gang_wait_s: f64,
+    /// How soon members notice a missing one.
+    pub gang_peer_s: f64,
+    /// A cancelled job's tasks must be gone after that.
+    pub cancel_s: f64,
+}
+
+/// Limits of the state service.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateSettings {
+    /// Requests a second, all nodes together.
+    pub rps: f64,
+    /// Puts and deletes a second, all nodes together.
+    pub write_rps: f64,
+    /// Largest value in KiB.
+    pub value_kb: f64,
+    /// Puts and deletes in one transaction.
+    pub txn_ops: usize,
+}
+
+/// Limits of the cloud's interface.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudSettings {
+    /// Requests a second.
+    pub rps: f64,
+    /// How old the machine list is.
+    pub list_lag_s: f64,
+}
+
+/// What this process may use.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Resources {
+    /// Share of one core.
+    pub cores: f64,
+    /// Memory in MB.
+    pub mem_mb: f64,
+    /// Sockets open at once.
+    pub max_sockets: usize,
+}
+
+/// Everything below `params`.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    /// Number of controllers.
+    pub count: usize,
+    /// The zones of the deployment.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// Bound on the error of the time of day.
+    #[serde(default)]
+    pub clock_off_ms: f64,
+    /// The teams.
+    #[serde(default)]
+    pub teams: Vec<TeamSettings>,
+    /// The aims.
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    /// Workers' timing.
+    pub workers: WorkerSettings,
+    /// The state service's limits.
+    pub state: StateSettings,
+    /// The cloud's limits.
+    pub cloud: CloudSettings,
+    /// This process's limits.
+    pub resources: Resources,
+}
+
+/// The whole file.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    /// This node's name.
+    pub member: String,
+    /// This node's zone.
+    #[serde(default)]
+    pub area: String,
+    /// For users, workers and health checks.
+    pub public_addr: SocketAddrV4,
+    /// For the other controllers and operators.
+    pub peer_bind: SocketAddrV4,
+    /// The other controllers.
+    #[serde(default)]
+    pub known: Vec<Peer>,
+    /// The systems outside.
+    pub external: External,
+    /// The deployment.
+    pub params: Params,
+}
+
+/// Turns a number of seconds from outside into a duration; nonsense becomes zero.
+pub fn secs(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value).unwrap_or(Duration::ZERO)
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let shown = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| ConfigError::Unreadable {
+            path: shown.clone(),
+            source,
+        })?;
+        Self::parse(&text, &shown)
+    }
+
+    /// Reads settings from text; `shown` names the source in errors.
+    pub fn parse(text: &str, shown: &str) -> Result<Self, ConfigError> {
+        let settings: Settings = toml::from_str(text).map_err(|error| ConfigError::Malformed {
+            path: shown.to_owned(),
+            reason: one_line(&error.to_string()),
+        })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), ConfigError> {
+        let p = &self.params;
+        let positive = [
+            ("params.workers.report_s", p.workers.report_s),
+            ("params.workers.lease_s", p.workers.lease_s),
+            ("params.workers.gang_wait_s", p.workers.gang_wait_s),
+            ("params.workers.gang_peer_s", p.workers.gang_peer_s),
+            ("params.workers.cancel_s", p.workers.cancel_s),
+            ("params.state.rps", p.state.rps),
+            ("params.state.write_rps", p.state.write_rps),
+            ("params.state.value_kb", p.state.value_kb),
+            ("params.state.txn_ops", p.state.txn_ops as f64),
+            ("params.cloud.rps", p.cloud.rps),
+            ("params.count", p.count as f64),
+            (
+                "params.resources.max_sockets",
+                p.resources.max_sockets as f64,
+            ),
+        ];
+        for (field, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                return Err(invalid(field, "must be a number above 0"));
+            }
+        }
+        if self.member.is_empty() {
+            return Err(invalid("member", "must not be empty"));
+        }
+        if self.known.iter().any(|peer| peer.member == self.member) {
+            return Err(invalid("known", "names this node itself"));
+        }
+        for team in &p.teams {
+            let amounts = [team.cpus, team.cpus_max, team.gpus, team.gpus_max];
+            if amounts.iter().any(|a| !a.is_finite() || *a < 0.0) {
+                return Err(invalid(
+                    &format!("params.teams.{}", team.name),
+                    "amounts must be numbers of at least 0",
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// The team's settings, if there is such a team.
+    pub fn team(&self, name: &str) -> Option<&TeamSettings> {
+        self.params.teams.iter().find(|team| team.name == name)
+    }
+}
+
+fn invalid(field: &str, reason: &str) -> ConfigError {
+    ConfigError::Invalid {
+        field: field.to_owned(),
+        reason: reason.to_owned(),
+    }
+}
+
+fn one_line(text: &str) -> String {
+    text.lines()
+        .map(str::trim)
+        .filter(|line| !line.is_empty())
+        .collect::<Vec<_>>()
+        .join(" ")
+}
--- /dev/null
+++ b/src/fleet/client.rs
@@ -0,0 +1,133 @@
+//! The cloud's protocol over pooled connections. Lives on one thread.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use awc::http::Method;
+use awc::Client;
+use thiserror::Error;
+
+use crate::model::{Build, MachineId};
+use crate::wire::{self, Flavors, HireBody, ListedMachine, MachineNames, MachinePage};
+
+/// The cloud answers in a fraction of a second; beyond this it is taken not to.
+const ANSWER_LIMIT: Duration = Duration::from_secs(3);
+/// Machines a page of the list.
+const PAGE: usize = 500;
+/// Largest body taken.
+const LARGEST: usize = 1024 * 1024;
+
+/// Why a request to the cloud brought nothing.
+#[derive(Debug, Error, PartialEq)]
+pub enum CloudError {
+    /// None to be had of that type, zone and kind.
+    #[error("no capacity")]
+    NoCapacity,
+    /// Refused, or in trouble.
+    #[error("the cloud refuses ({0})")]
+    Refused(u16),
+    /// No answer; it may have been executed.
+    #[error("no answer from the cloud")]
+    Unknown,
+    /// An answer that makes no sense.
+    #[error("the cloud answered nonsense: {0}")]
+    Nonsense(String),
+}
+
+/// The client.
+#[derive(Clone)]
+pub struct CloudClient {
+    base: String,
+    http: Client,
+}
+
+impl CloudClient {
+    /// A client of the cloud at `address`.
+    pub fn new(address: SocketAddrV4, http: Client) -> Self {
+        Self {
+            base: format!("http://{address}"),
+            http,
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) -> Result<Vec<u8>, CloudError> {
+        let request = self
+            .http
+            .request(method, format!("{}{path}", self.base))
+            .timeout(ANSWER_LIMIT);
+        let sent = match body {
+            Some(body) => request.content_type(wire::CBOR).send_body(body),
+            None => request.send(),
+        };
+        let mut answer = sent.await.map_err(|_| CloudError::Unknown)?;
+        let status = answer.status().as_u16();
+        let body = answer
+            .body()
+            .limit(LARGEST)
+            .await
+            .map_err(|_| CloudError::Unknown)?;
+        match status {
+            200 => Ok(body.to_vec()),
+            503 if says_no_capacity(&body) => Err(CloudError::NoCapacity),
+            status => Err(CloudError::Refused(status)),
+        }
+    }
+
+    fn read<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, CloudError> {
+        wire::decode(body).map_err(|error| CloudError::Nonsense(error.to_string()))
+    }
+
+    /// The machine types.
+    pub async fn catalog(&self) -> Result<Vec<Build>, CloudError> {
+        let body = self.call(Method::GET, "/flavors", None).await?;
+        Self::read::<Flavors>(&body).map(Flavors::builds)
+    }
+
+    /// Rents; the names of the machines.
+    pub async fn hire(&self, hire: &HireBody) -> Result<Vec<String>, CloudError> {
+        let body = wire::encode(hire);
+        let body = self.call(Method::POST, "/machines", Some(body)).await?;
+        Self::read::<MachineNames>(&body).map(|names| names.machines)
+    }
+
+    /// Returns; when this succeeds the machines and all on them are gone.
+    pub async fn give_back(&self, machines: &[MachineId]) -> Result<(), CloudError> {
+        let body = wire::encode(&MachineNames {
+            machines: machines.iter().map(|id| id.0.to_string()).collect(),
+        });
+        self.call(Method::POST, "/machines/return", Some(body))
+            .await
+            .map(|_| ())
+    }
+
+    /// The whole list.
+    pub async fn list(&self) -> Result<Vec<ListedMachine>, CloudError> {
+        let mut all: Vec<ListedMachine> = Vec::new();
+        loop {
+            let path = match all.last() {
+                Some(last) => format!("/machines?after={}&limit={PAGE}", last.id),
+                None => format!("/machines?limit={PAGE}"),
+            };
+            let body = self.call(Method::GET, &path, None).await?;
+            let page: MachinePage = Self::read(&body)?;
+            let got = page.machines.len();
+            all.extend(page.machines);
+            if !page.more || got == 0 {
+                return Ok(all);
+            }
+        }
+    }
+}
+
+fn says_no_capacity(body: &[u8]) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Said {
+        error: String,
+    }
+    wire::decode::<Said>(body).is_ok_and(|said| said.error == "no capacity")
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,470 @@
+//! The fleet: what to rent, what to return. Pure decisions here, the cloud's protocol in
+//! [`client`].
+
+pub mod client;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use crate::cluster::{build_named, Cluster, Drain, Listed, Machine};
+use crate::model::{Amount, Build, JobSpec, MachineId};
+use crate::sched::allocate::Rooms;
+use crate::sched::{Policy, Short};
+
+/// Most machines in one rental request, by the cloud's protocol.
+pub const MOST_A_HIRE: u32 = 50;
+/// Most names in one return, by the cloud's protocol.
+pub const MOST_A_RETURN: usize = 100;
+/// A boot of this many times its nominal time no longer counts on as room to come.
+const LATE_BOOT: f64 = 1.8;
+/// A boot of this many times its nominal time is given up.
+const HOPELESS_BOOT: f64 = 4.0;
+/// A machine listed as running for that long without a report is given up.
+const UNHEARD: Duration = Duration::from_secs(30);
+/// How long a type, zone and kind that had nothing to give is not asked again.
+const NO_CAPACITY_PAUSE: Duration = Duration::from_secs(15);
+/// Part of the fleet that must be heard from before silence of the rest is believed: when
+/// nobody is heard, it is more likely us.
+const HEARD_PART: f64 = 0.5;
+/// Standard deviations above the mean of what may arrive while a machine boots.
+const SPARE_DEVIATIONS: f64 = 1.0;
+/// Shortest time over which arrivals are averaged, so that the first ones don't count for a
+/// flood.
+const ARRIVAL_WINDOW: Duration = Duration::from_secs(90);
+
+/// A kind of machine that can be asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Offer {
+    /// Type.
+    pub build: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+}
+
+/// What the fleet decides.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Rent so many.
+    Rent(Offer, u32),
+    /// Return these, with the reason.
+    Return(Vec<MachineId>, &'static str),
+}
+
+/// What is known of the market: who had nothing to give, and until when not to ask again.
+#[derive(Debug, Default)]
+pub struct Market {
+    empty_until: HashMap<Offer, Instant>,
+}
+
+impl Market {
+    /// The offer had nothing, or less than asked for.
+    pub fn exhausted(&mut self, offer: &Offer, now: Instant) {
+        let until = now + NO_CAPACITY_PAUSE;
+        self.empty_until.insert(offer.clone(), until);
+    }
+
+    fn asks(&self, offer: &Offer, now: Instant) -> bool {
+        self.empty_until
+            .get(offer)
+            .is_none_or(|until| now >= *until)
+    }
+}
+
+/// Operators' say in the fleet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Thrift {
+    /// Idle machines are kept for this many times what a new one would take to be as useful.
+    pub idle_factor: f64,
+    /// Spare room kept for classes that have to start soon, as a part of what may arrive.
+    pub spare_factor: f64,
+}
+
+impl Default for Thrift {
+    fn default() -> Self {
+        Self {
+            idle_factor: 1.0,
+            spare_factor: 1.0,
+        }
+    }
+}
+
+/// Room that is there, or will be.
+struct Bay {
+    machine: Option<MachineId>,
+    offer: Offer,
+    free: Amount,
+}
+
+/// What to rent and return now.
+pub fn plan(
+    cluster: &Cluster,
+    policy: &Policy,
+    short: &[Short],
+    market: &Market,
+    thrift: Thrift,
+    now: Instant,
+) -> Vec<Action> {
+    let mut actions = Vec::new();
+    let lost = lost_machines(cluster, now);
+    let leaving: BTreeSet<MachineId> = lost.iter().map(|(id, _)| id.clone()).collect();
+    let mut by_reason: BTreeMap<&'static str, Vec<MachineId>> = BTreeMap::new();
+    for (id, why) in lost {
+        by_reason.entry(why).or_default().push(id);
+    }
+
+    let mut bays = bays(cluster, &leaving, now);
+    let mut rents: BTreeMap<Offer, u32> = BTreeMap::new();
+    for want in short {
+        place_want(cluster, want, &mut bays, &mut rents, market, now);
+    }
+    let kept = keep_spare(cluster, policy, &mut bays, &mut rents, market, thrift, now);
+    for (id, why) in idle_machines(cluster, &kept, &leaving, thrift, now) {
+        by_reason.entry(why).or_default().push(id);
+    }
+    for (offer, count) in rents {
+        actions.push(Action::Rent(offer, count.min(MOST_A_HIRE)));
+    }
+    for (why, ids) in by_reason {
+        for chunk in ids.chunks(MOST_A_RETURN) {
+            actions.push(Action::Return(chunk.to_vec(), why));
+        }
+    }
+    actions
+}
+
+/// Machines to be given up whatever the demand.
+fn lost_machines(cluster: &Cluster, now: Instant) -> Vec<(MachineId, &'static str)> {
+    let up: Vec<&Machine> = cluster
+        .machines
+        .values()
+        .filter(|m| m.reported.is_some())
+        .collect();
+    let quiet = cluster.timing.quiet;
+    let heard = up.iter().filter(|m| !m.silent(now, quiet)).count();
+    let we_hear = !up.is_empty() && heard as f64 >= up.len() as f64 * HEARD_PART;
+    let since_take_over = now.saturating_duration_since(cluster.since);
+    let mut lost = Vec::new();
+    for machine in cluster.machines.values().filter(|m| !m.returning) {
+        let id = machine.id.clone();
+        let age = now.saturating_duration_since(machine.rented);
+        let boot = build_named(cluster.catalog(), &machine.build).map(|build| build.boot);
+        // With nobody heard, only a silence that ends all leases counts.
+        let limit = if we_hear {
+            cluster.timing.lost
+        } else {
+            cluster.timing.lease * 2
+        };
+        let why = if machine.listed == Listed::Failed {
+            Some("it failed")
+        } else if machine.reported.is_some() {
+            let drained = machine.drain.is_some() && !machine.busy();
+            let by_operator = machine.drain == Some(Drain::Operator);
+            if machine.silent(now, limit) {
+                Some("it is silent")
+            } else if drained && !by_operator {
+                Some("it is not fit for work")
+            } else {
+                None
+            }
+        } else if cluster.unsettled.contains(&machine.id) {
+            // It may hold tasks and hasn't been heard since we took over.
+            (since_take_over > limit).then_some("it did not report")
+        } else if machine.listed == Listed::Running {
+            let unheard = now.saturating_duration_since(machine.listed_since) > UNHEARD;
+            (unheard && since_take_over > UNHEARD).then_some("it never reported")
+        } else {
+            let hopeless = boot.is_some_and(|boot| age > boot.mul_f64(HOPELESS_BOOT));
+            hopeless.then_some("its boot is hopeless")
+        };
+        if let Some(why) = why {
+            lost.push((id, why));
+        }
+    }
+    lost
+}
+
+/// Room on machines that take tasks, and on machines that boot.
+fn bays(cluster: &Cluster, leaving: &BTreeSet<MachineId>, now: Instant) -> Vec<Bay> {
+    let mut bays: Vec<Bay> = Rooms::of(cluster, now)
+        .0
+        .into_iter()
+        .filter(|(id, _)| !leaving.contains(id))
+        .map(|(id, room)| Bay {
+            machine: Some(id),
+            offer: Offer {
+                build: room.build,
+                zone: room.zone,
+                spot: room.spot,
+            },
+            free: room.free,
+        })
+        .collect();
+    for machine in cluster.machines.values() {
+        let coming = machine.reported.is_none()
+            && !machine.returning
+            && !cluster.unsettled.contains(&machine.id)
+            && !leaving.contains(&machine.id);
+        let Some(build) = build_named(cluster.catalog(), &machine.build).filter(|_| coming) else {
+            continue;
+        };
+        let age = now.saturating_duration_since(machine.rented);
+        if age <= build.boot.mul_f64(LATE_BOOT) {
+            bays.push(Bay {
+                machine: Some(machine.id.clone()),
+                offer: Offer {
+                    build: machine.build.clone(),
+                    zone: machine.zone.clone(),
+                    spot: machine.spot,
+                },
+                free: build.room,
+            });
+        }
+    }
+    bays
+}
+
+/// Offers that a job can use, cheapest for a task of it first.
+fn offers(
+    cluster: &Cluster,
+    spec: &JobSpec,
+    zone: Option<&str>,
+    market: &Market,
+    now: Instant,
+) -> Vec<(f64, Offer)> {
+    let mut offers = Vec::new();
+    for build in cluster.catalog().iter() {
+        let each = spec.need.count_in(&build.room);
+        if each == 0 {
+            continue;
+        }
+        for build_zone in &build.zones {
+            for spot in [true, false] {
+                let offer = Offer {
+                    build: build.name.clone(),
+                    zone: build_zone.clone(),
+                    spot,
+                };
+                let fits_zone = zone.is_none_or(|zone| zone == build_zone);
+                let allowed = spec.allows(&build.name, build_zone, spot);
+                if fits_zone && allowed && market.asks(&offer, now) {
+                    offers.push((unit_price(build, spot, each), offer));
+                }
+            }
+        }
+    }
+    offers.sort_by(|a, b| a.0.total_cmp(&b.0));
+    offers
+}
+
+fn unit_price(build: &Build, spot: bool, each: u32) -> f64 {
+    build.price_of(spot) / f64::from(each.max(1))
+}
+
+/// Puts tasks without room into bays, renting what is missing.
+fn place_want(
+    cluster: &Cluster,
+    want: &Short,
+    bays: &mut Vec<Bay>,
+    rents: &mut BTreeMap<Offer, u32>,
+    market: &Market,
+    now: Instant,
+) {
+    let spec = &want.spec;
+    let mut zone = want.zone.clone();
+    if spec.one_zone && zone.is_none() {
+        zone = cheapest_zone(cluster, want, bays, market, now);
+        if zone.is_none() {
+            return;
+        }
+    }
+    let mut per_zone: HashMap<String, u32> = HashMap::new();
+    for _ in 0..want.tasks {
+        if !place_one(
+            cluster,
+            spec,
+            zone.as_deref(),
+            bays,
+            rents,
+            market,
+            &mut per_zone,
+            now,
+        ) {
+            return;
+        }
+    }
+}
+
+/// The zone in which the fewest machines have to be rented, then the cheapest.
+fn cheapest_zone(
+    cluster: &Cluster,
+    want: &Short,
+    bays: &[Bay],
+    market: &Market,
+    now: Instant,
+) -> Option<String> {
+    let spec = &want.spec;
+    let zones: BTreeSet<&String> = cluster.catalog().iter().flat_map(|b| &b.zones).collect();
+    let mut best: Option<(u32, f64, String)> = None;
+    for zone in zones {
+        let there: u32 = bays
+            .iter()
+            .filter(|bay| bay.offer.zone == *zone && usable(spec, bay))
+            .map(|bay| spec.need.count_in(&bay.free))
+            .sum();
+        let missing = want.tasks.saturating_sub(there);
+        let price = match offers(cluster, spec, Some(zone), market, now).first() {
+            Some((price, _)) => *price,
+            None if missing == 0 => 0.0,
+            None => continue,
+        };
+        let better = best.as_ref().is_none_or(|(fewest, least, _)| {
+            missing < *fewest || (missing == *fewest && price < *least)
+        });
+        if better {
+            best = Some((missing, price, zone.clone()));
+        }
+    }
+    best.map(|(_, _, zone)| zone)
+}
+
+fn usable(spec: &JobSpec, bay: &Bay) -> bool {
+    spec.allows(&bay.offer.build, &bay.offer.zone, bay.offer.spot) && spec.need.fits(&bay.free)
+}
+
+/// Puts one task into a bay or rents for it; whether it found either.
+#[allow(clippy::too_many_arguments)]
+fn place_one(
+    cluster: &Cluster,
+    spec: &JobSpec,
+    zone: Option<&str>,
+    bays: &mut Vec<Bay>,
+    rents: &mut BTreeMap<Offer, u32>,
+    market: &Market,
+    per_zone: &mut HashMap<String, u32>,
+    now: Instant,
+) -> bool {
+    let cap = spec.zone_cap();
+    let open = |name: &str, per_zone: &HashMap<String, u32>| {
+        per_zone.get(name).copied().unwrap_or(0) < cap
+    };
+    let bay = bays.iter_mut().find(|bay| {
+        zone.is_none_or(|zone| zone == bay.offer.zone)
+            && open(&bay.offer.zone, per_zone)
+            && usable(spec, bay)
+    });
+    if let Some(bay) = bay {
+        bay.free.sub(&spec.need);
+        *per_zone.entry(bay.offer.zone.clone()).or_default() += 1;
+        return true;
+    }
+    let offers = offers(cluster, spec, zone, market, now);
+    let found = offers.iter().find(|(_, o)| open(&o.zone, per_zone));
+    let Some((_, offer)) = found else {
+        return false;
+    };
+    let Some(build) = build_named(cluster.catalog(), &offer.build) else {
+        return false;
+    };
+    let mut free = build.room;
+    free.sub(&spec.need);
+    *rents.entry(offer.clone()).or_default() += 1;
+    *per_zone.entry(offer.zone.clone()).or_default() += 1;
+    bays.push(Bay {
+        machine: None,
+        offer: offer.clone(),
+        free,
+    });
+    true
+}
+
+/// Keeps, and rents, room for what may arrive while a machine would boot, for classes whose
+/// jobs have to start sooner than that. Returns the machines so kept.
+fn keep_spare(
+    cluster: &Cluster,
+    policy: &Policy,
+    bays: &mut Vec<Bay>,
+    rents: &mut BTreeMap<Offer, u32>,
+    market: &Market,
+    thrift: Thrift,
+    now: Instant,
+) -> HashSet<MachineId> {
+    let mut kept = HashSet::new();
+    let window = now
+        .saturating_duration_since(cluster.since)
+        .clamp(ARRIVAL_WINDOW, ARRIVAL_WINDOW * 2);
+    let mut classes: BTreeMap<&str, (f64, &JobSpec)> = BTreeMap::new();
+    for (at, spec) in &cluster.arrivals {
+        if now.saturating_duration_since(*at) <= window && policy.prompt.contains_key(&spec.class) {
+            let entry = classes.entry(&spec.class).or_insert((0.0, spec));
+            entry.0 += f64::from(spec.tasks);
+        }
+    }
+    for (_, (tasks, spec)) in classes {
+        let offers = offers(cluster, spec, None, market, now);
+        let boot = offers.first().and_then(|(_, offer)| {
+            let build = build_named(cluster.catalog(), &offer.build)?;
+            Some(build.boot)
+        });
+        let Some(boot) = boot else { continue };
+        let expected = tasks / window.as_secs_f64() * boot.as_secs_f64();
+        let spare = (expected + SPARE_DEVIATIONS * expected.sqrt()) * thrift.spare_factor;
+        let mut any = spec.clone();
+        any.one_zone = false;
+        any.spread = false;
+        any.zone = None;
+        let mut per_zone = HashMap::new();
+        for _ in 0..spare.round() as u32 {
+            let before: Vec<Amount> = bays.iter().map(|bay| bay.free).collect();
+            let placed = place_one(cluster, &any, None, bays, rents, market, &mut per_zone, now);
+            if !placed {
+                break;
+            }
+            let used = bays
+                .iter()
+                .zip(&before)
+                .find(|(bay, was)| bay.free != **was);
+            if let Some(id) = used.and_then(|(bay, _)| bay.machine.clone()) {
+                kept.insert(id);
+            }
+        }
+    }
+    kept
+}
+
+/// Idle machines whose keeping costs more than a new one likely would.
+fn idle_machines(
+    cluster: &Cluster,
+    kept: &HashSet<MachineId>,
+    leaving: &BTreeSet<MachineId>,
+    thrift: Thrift,
+    now: Instant,
+) -> Vec<(MachineId, &'static str)> {
+    let mut idle = Vec::new();
+    for machine in cluster.machines.values() {
+        let free = machine.reported.is_some()
+            && machine.fenced
+            && !machine.returning
+            && !machine.busy()
+            && !kept.contains(&machine.id)
+            && !leaving.contains(&machine.id);
+        let Some(build) = build_named(cluster.catalog(), &machine.build).filter(|_| free) else {
+            continue;
+        };
+        let since = now.saturating_duration_since(machine.idle_since);
+        if since > worth_keeping(machine, build).mul_f64(thrift.idle_factor) {
+            idle.push((machine.id.clone(), "it is idle"));
+        }
+    }
+    idle
+}
+
+/// How long a machine is worth keeping idle: the time a new one needs to boot and to fetch
+/// the images that this one has. Whoever waits at most that long never pays more than twice
+/// what knowing the future would have cost.
+fn worth_keeping(machine: &Machine, build: &Build) -> Duration {
+    let images: f64 = machine.images.iter().map(|(_, gb)| gb).sum();
+    let fetch = images / build.fetch_rate.max(f64::MIN_POSITIVE);
+    build.boot + crate::config::secs(fetch)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,25 @@
+//! Knotlanding: a gang scheduler for rented clusters.
+//!
+//! One controller leads under a lease in the state service. Every round it tentatively gives
+//! room to each gang's tasks and sends all starts together once the minimum fits; otherwise
+//! nothing of the gang starts. The modules are the parts; `actors` own the loops, the rest
+//! decides or talks.
+
+#![warn(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod actors;
+pub mod api;
+pub mod cli;
+pub mod cluster;
+pub mod config;
+pub mod fleet;
+pub mod leader;
+pub mod metrics;
+pub mod model;
+pub mod peer;
+pub mod run;
+pub mod sched;
+pub mod service;
+pub mod store;
+pub mod wire;
--- /dev/null
+++ b/src/model.rs
@@ -0,0 +1,323 @@
+//! The field's terms: job, task, gang, team, machine, attempt.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A job's id as its user chose it (`wk-` and digits).
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobId(Arc<str>);
+
+impl JobId {
+    const PREFIX: &'static str = "wk-";
+    /// Longest run of digits taken: more would not fit any counter.
+    const MOST_DIGITS: usize = 19;
+
+    /// Reads an id, refusing every other form.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.strip_prefix(Self::PREFIX)?;
+        let fits = !digits.is_empty() && digits.len() <= Self::MOST_DIGITS;
+        (fits && digits.bytes().all(|b| b.is_ascii_digit())).then(|| Self(text.into()))
+    }
+
+    /// The id as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// One task of a job.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// The task's number within it.
+    pub index: u32,
+}
+
+impl TaskId {
+    /// Reads `job/number`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (job, index) = text.split_once('/')?;
+        Some(Self {
+            job: JobId::parse(job)?,
+            index: index.parse().ok()?,
+        })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl fmt::Debug for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+/// A machine's name. Names sort by creation.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct MachineId(pub Arc<str>);
+
+impl fmt::Display for MachineId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for MachineId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Tells one start of a task, or of a whole gang, from every other: the term, then a counter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Attempt(pub u64);
+
+impl Attempt {
+    /// Bits left to the counter; a term would have to start four thousand million tasks to
+    /// run out of them.
+    const COUNTER_BITS: u32 = 32;
+
+    /// The `count`th attempt of a term. No two terms share an attempt, so none is stored.
+    pub fn of(term: Term, count: u32) -> Self {
+        Self((term.0 << Self::COUNTER_BITS) | u64::from(count))
+    }
+}
+
+/// The leader's term; workers know it as their token.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Term(pub u64);
+
+/// How tasks of a job belong together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shape {
+    /// Independent tasks, each a gang of one.
+    Array,
+    /// All at once or none.
+    Gang,
+}
+
+/// Priority, lowest first so that the derived order is the field's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Rank {
+    /// `best_effort`
+    BestEffort,
+    /// `standard`
+    Standard,
+    /// `urgent`
+    Urgent,
+    /// `prod`
+    Production,
+}
+
+/// An amount of a machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Amount {
+    /// Processors.
+    pub cpus: f64,
+    /// Graphics cards.
+    pub gpus: f64,
+    /// Memory in GB.
+    pub memory: f64,
+}
+
+/// Decimal amounts are summed and subtracted many times; differences below this are rounding.
+const ROUNDING: f64 = 1e-6;
+
+impl Amount {
+    /// Whether this fits into `room`.
+    pub fn fits(&self, room: &Amount) -> bool {
+        self.cpus <= room.cpus + ROUNDING
+            && self.gpus <= room.gpus + ROUNDING
+            && self.memory <= room.memory + ROUNDING
+    }
+
+    /// Adds.
+    pub fn add(&mut self, other: &Amount) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory += other.memory;
+    }
+
+    /// Takes away.
+    pub fn sub(&mut self, other: &Amount) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory -= other.memory;
+    }
+
+    /// The amount of `n` alike.
+    pub fn times(&self, n: u32) -> Amount {
+        let n = f64::from(n);
+        Amount {
+            cpus: self.cpus * n,
+            gpus: self.gpus * n,
+            memory: self.memory * n,
+        }
+    }
+
+    /// How many of this fit into `room`.
+    pub fn count_in(&self, room: &Amount) -> u32 {
+        let parts = [
+            (self.cpus, room.cpus),
+            (self.gpus, room.gpus),
+            (self.memory, room.memory),
+        ];
+        let fit = parts
+            .iter()
+            .filter(|(need, _)| *need > ROUNDING)
+            .map(|(need, have)| ((have + ROUNDING) / need).floor())
+            .fold(f64::from(u32::MAX), f64::min);
+        fit.max(0.0) as u32
+    }
+}
+
+/// A job as its user described it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Its id.
+    pub id: JobId,
+    /// Class of jobs.
+    pub class: String,
+    /// Whose guarantee and limit apply.
+    pub team: String,
+    /// Array or gang.
+    pub shape: Shape,
+    /// Priority.
+    pub rank: Rank,
+    /// Number of tasks.
+    pub tasks: u32,
+    /// What each task takes.
+    pub need: Amount,
+    /// Machine types allowed; `None`: any.
+    pub builds: Option<Vec<String>>,
+    /// The only zone allowed.
+    pub zone: Option<String>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// At most half, rounded up, in one zone.
+    pub spread: bool,
+    /// May use spot machines.
+    pub spot: bool,
+    /// Image to be fetched first.
+    pub image: String,
+    /// Its size in GB.
+    pub image_gb: f64,
+    /// The owner's estimate of a task's run time, in seconds.
+    pub estimate_s: f64,
+    /// Progress between two checkpoints; 0: never saves.
+    pub checkpoint_s: f64,
+    /// Time to save when stopped.
+    pub save_s: f64,
+    /// When it should be complete after its submission.
+    pub due_s: Option<f64>,
+}
+
+impl JobSpec {
+    /// The least number of members with which a gang runs.
+    pub fn minimum(&self) -> u32 {
+        match self.shape {
+            Shape::Array => 1,
+            Shape::Gang => self.tasks,
+        }
+    }
+
+    /// Whether a stopped task can keep its progress.
+    pub fn saves(&self) -> bool {
+        self.checkpoint_s > 0.0
+    }
+
+    /// The grace a stop needs so that progress is saved.
+    pub fn grace(&self) -> f64 {
+        // One second on top, so that rounding on the way never makes it too little.
+        self.save_s + 1.0
+    }
+
+    /// The owner's estimate as a duration.
+    pub fn estimate(&self) -> Duration {
+        crate::config::secs(self.estimate_s)
+    }
+
+    /// Most tasks in one zone, where the job asks for spread.
+    pub fn zone_cap(&self) -> u32 {
+        if self.spread {
+            self.tasks.div_ceil(2)
+        } else {
+            self.tasks
+        }
+    }
+
+    /// Whether a machine of this type, zone and kind is allowed at all.
+    pub fn allows(&self, build: &str, zone: &str, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.zone.as_deref().is_none_or(|z| z == zone)
+            && self
+                .builds
+                .as_ref()
+                .is_none_or(|builds| builds.iter().any(|b| b == build))
+    }
+}
+
+/// A type of machine the cloud rents.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Build {
+    /// Its name.
+    pub name: String,
+    /// What an empty machine offers.
+    pub room: Amount,
+    /// Price an hour.
+    pub price: f64,
+    /// Price an hour as a spot machine, at present.
+    pub spot_price: f64,
+    /// Nominal boot time.
+    pub boot: Duration,
+    /// Image cache in GB.
+    pub cache_gb: f64,
+    /// Fetch rate in GB a second.
+    pub fetch_rate: f64,
+    /// Zones that have it.
+    pub zones: Vec<String>,
+}
+
+impl Build {
+    /// Price an hour of the ordinary or the spot kind.
+    pub fn price_of(&self, spot: bool) -> f64 {
+        if spot {
+            self.spot_price
+        } else {
+            self.price
+        }
+    }
+}
+
+/// What is known for good of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// Taken; it has to run.
+    Accepted,
+    /// All tasks completed.
+    Done,
+    /// Its user cancelled it.
+    Cancelled,
+}
--- /dev/null
+++ b/src/run.rs
@@ -0,0 +1,102 @@
+//! Puts a process together from its parts.
+
+use std::io;
+use std::time::Duration;
+
+use actix::Actor;
+use actix_web::{web, App, HttpServer};
+use awc::{Client, Connector};
+use tracing::info;
+
+use crate::actors::fleet::FleetActor;
+use crate::actors::leader::LeaderActor;
+use crate::actors::peers::PeersActor;
+use crate::actors::round::{RoundActor, Shortages};
+use crate::config::Settings;
+use crate::fleet::client::CloudClient;
+use crate::service::Shared;
+use crate::store::actor::StoreActor;
+use crate::store::client::StoreClient;
+use crate::{api, peer};
+
+/// Part of the sockets that users' and workers' connections may take; the rest is for our
+/// own to the state service, the cloud, the workers and the peers.
+const PUBLIC_PART: f64 = 0.7;
+/// Part of the sockets for peers and operators.
+const PEER_PART: f64 = 0.05;
+/// Idle connections stay open for that long: longer than any interval of reports or polls.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+/// A connection that has not come about by then won't.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Connections accepted but not yet taken up.
+const BACKLOG: u32 = 256;
+
+fn http_client(most: usize) -> Client {
+    let connector = Connector::new()
+        .timeout(CONNECT_LIMIT)
+        .conn_keep_alive(KEEP_ALIVE)
+        .limit(most);
+    Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .finish()
+}
+
+/// Serves until the process is ended.
+pub async fn serve(settings: Settings) -> io::Result<()> {
+    let sockets = settings.params.resources.max_sockets as f64;
+    let public_limit = (sockets * PUBLIC_PART).max(1.0) as usize;
+    let peer_limit = (sockets * PEER_PART).max(8.0) as usize;
+    let own_limit = (sockets * (1.0 - PUBLIC_PART - PEER_PART) / 2.0).max(8.0) as usize;
+    let (public_addr, peer_bind) = (settings.public_addr, settings.peer_bind);
+    let external = settings.external.clone();
+    let member = settings.member.clone();
+
+    let shared = Shared::new(settings);
+    let http = http_client(own_limit);
+    let client = StoreClient::new(external.state, http.clone());
+    let store = StoreActor::new(client.clone(), shared.clone()).start();
+    let shortages = Shortages::default();
+
+    let data: web::Data<Shared> = web::Data::from(shared.clone());
+    let to_store = web::Data::new(store.clone());
+    let public = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(to_store.clone())
+            .configure(api::public)
+    })
+    .workers(1)
+    .max_connections(public_limit)
+    .backlog(BACKLOG)
+    .keep_alive(KEEP_ALIVE)
+    .disable_signals()
+    .bind(public_addr)?
+    .run();
+
+    let data: web::Data<Shared> = web::Data::from(shared.clone());
+    let to_store = web::Data::new(store.clone());
+    let peers = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(to_store.clone())
+            .configure(peer::routes)
+            .configure(api::admin::routes)
+    })
+    .workers(1)
+    .max_connections(peer_limit)
+    .keep_alive(KEEP_ALIVE)
+    .disable_signals()
+    .bind(peer_bind)?
+    .run();
+
+    LeaderActor::new(shared.clone(), client, store.clone()).start();
+    RoundActor::new(shared.clone(), store, http.clone(), shortages.clone()).start();
+    let cloud = CloudClient::new(external.cloud, http.clone());
+    FleetActor::new(shared.clone(), cloud, shortages).start();
+    PeersActor::new(shared, http).start();
+
+    info!(member, %public_addr, %peer_bind, "serving");
+    futures_util::future::try_join(public, peers).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/sched/mod.rs
@@ -0,0 +1,365 @@
+//! The round: order the jobs, tentatively allocate, decide. Pure functions of the picture and
+//! an `Instant`; nothing here does I/O or changes the picture.
+
+pub mod allocate;
+pub mod order;
+pub mod preempt;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::cluster::{Cluster, Job};
+use crate::config::{Settings, TeamSettings};
+use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId};
+use allocate::Rooms;
+
+/// Tasks of one job started in one round; a larger array goes on in the next one.
+const MOST_STARTS_A_JOB: usize = 256;
+/// A gang that has waited this many times its workers' gang wait keeps its tentative room
+/// from later jobs, so that smaller ones can't starve it.
+const KEEP_ROOM_AFTER: u32 = 2;
+
+/// What the scheduler needs of the settings.
+#[derive(Debug, Clone)]
+pub struct Policy {
+    /// Teams by name.
+    pub teams: HashMap<String, TeamSettings>,
+    /// The shortest time any aim allows a class.
+    pub aims: HashMap<String, Duration>,
+    /// Classes that are to start soon, with the time allowed.
+    pub prompt: HashMap<String, Duration>,
+    /// Zones of the deployment.
+    pub zones: Vec<String>,
+}
+
+impl Policy {
+    /// From the settings.
+    pub fn new(settings: &Settings) -> Self {
+        let mut aims: HashMap<String, Duration> = HashMap::new();
+        let mut prompt: HashMap<String, Duration> = HashMap::new();
+        for objective in &settings.params.objectives {
+            let Some(within) = objective.within_s.map(crate::config::secs) else {
+                continue;
+            };
+            let keep_least = |map: &mut HashMap<String, Duration>| {
+                let entry = map.entry(objective.class.clone()).or_insert(within);
+                *entry = within.min(*entry);
+            };
+            keep_least(&mut aims);
+            if objective.kind == "wait" {
+                keep_least(&mut prompt);
+            }
+        }
+        let teams = settings.params.teams.iter();
+        Self {
+            teams: teams
+                .map(|team| (team.name.clone(), team.clone()))
+                .collect(),
+            aims,
+            prompt,
+            zones: settings.params.zones.clone(),
+        }
+    }
+
+    /// Whether the team may use `sum` at once.
+    pub fn within_limit(&self, team: &str, sum: &Amount) -> bool {
+        self.teams.get(team).is_some_and(|t| {
+            let limit = Amount {
+                cpus: unmanaged_if_zero(t.cpus_max),
+                gpus: unmanaged_if_zero(t.gpus_max),
+                memory: f64::INFINITY,
+            };
+            sum.fits(&limit)
+        })
+    }
+
+    /// Whether `sum` is within what the team is guaranteed.
+    pub fn within_guarantee(&self, team: &str, sum: &Amount) -> bool {
+        self.teams.get(team).is_some_and(|t| {
+            let managed = t.cpus > 0.0 || t.gpus > 0.0;
+            let limit = Amount {
+                cpus: unmanaged_if_zero(t.cpus),
+                gpus: unmanaged_if_zero(t.gpus),
+                memory: f64::INFINITY,
+            };
+            managed && sum.fits(&limit)
+        })
+    }
+}
+
+fn unmanaged_if_zero(amount: f64) -> f64 {
+    if amount > 0.0 {
+        amount
+    } else {
+        f64::INFINITY
+    }
+}
+
+/// Which attempt a start belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Under {
+    /// One of its own, for the gang as a whole.
+    Fresh,
+    /// The gang's present one: a member is replaced before the gang has started.
+    Same(Attempt),
+}
+
+/// Starts that leave together.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Start {
+    /// The job.
+    pub job: JobId,
+    /// The attempt.
+    pub under: Under,
+    /// Tasks and where each goes.
+    pub members: Vec<(u32, MachineId)>,
+}
+
+/// A single task to be stopped.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Halt {
+    /// The task.
+    pub task: TaskId,
+    /// Its attempt.
+    pub attempt: Attempt,
+    /// Where it is.
+    pub machine: MachineId,
+    /// Time to save.
+    pub grace_s: f64,
+}
+
+/// Tasks for which there is no room.
+#[derive(Debug, Clone)]
+pub struct Short {
+    /// The job.
+    pub spec: Arc<JobSpec>,
+    /// How many of its tasks.
+    pub tasks: u32,
+    /// When the job was taken.
+    pub submitted: Instant,
+    /// When the job should be over.
+    pub target: Instant,
+    /// The only zone in which they can go now, if that is settled.
+    pub zone: Option<String>,
+}
+
+/// What a round decides.
+#[derive(Debug, Default)]
+pub struct Decisions {
+    /// Starts.
+    pub starts: Vec<Start>,
+    /// Gangs to be stopped as a whole.
+    pub gang_stops: Vec<(JobId, &'static str)>,
+    /// Tasks to be stopped.
+    pub halts: Vec<Halt>,
+    /// What the fleet is short of.
+    pub short: Vec<Short>,
+    /// Why jobs wait.
+    pub waits: Vec<(JobId, &'static str)>,
+}
+
+/// One round.
+pub fn round(cluster: &Cluster, policy: &Policy, now: Instant) -> Decisions {
+    let mut decisions = Decisions::default();
+    let mut rooms = Rooms::of(cluster, now);
+    let mut used: HashMap<String, Amount> = cluster
+        .team_use()
+        .into_iter()
+        .map(|(team, sum)| (team.to_owned(), sum))
+        .collect();
+    let ordered = order::order(cluster, policy, now);
+    let mut wanting = Vec::new();
+    for entry in &ordered {
+        let job = entry.job;
+        let id = &job.spec.id;
+        let why = if cluster.blocked(job) {
+            Some("machines of an earlier term to report")
+        } else if job.rests_until.is_some_and(|until| now < until) {
+            Some("its rest after a failure")
+        } else if job.stopping {
+            Some("its tasks to stop")
+        } else {
+            None
+        };
+        if let Some(why) = why {
+            if job.pending_count() > 0 {
+                decisions.waits.push((id.clone(), why));
+            }
+            continue;
+        }
+        let sum = used.entry(job.spec.team.clone()).or_default();
+        if job.gang() {
+            step_gang(cluster, policy, entry, sum, &mut rooms, &mut decisions, now);
+        } else {
+            step_array(cluster, policy, entry, sum, &mut rooms, &mut decisions);
+        }
+        let short = decisions.short.last().filter(|s| s.spec.id == *id);
+        if let Some(short) = short {
+            wanting.push((entry, short.tasks));
+        }
+    }
+    preempt::preempt(cluster, policy, &wanting, &mut decisions, now);
+    preempt::leave_noticed(cluster, &mut decisions, now);
+    decisions
+}
+
+/// A gang: whole, repaired, or not at all.
+fn step_gang(
+    cluster: &Cluster,
+    policy: &Policy,
+    entry: &order::Entry,
+    used: &mut Amount,
+    rooms: &mut Rooms,
+    decisions: &mut Decisions,
+    now: Instant,
+) {
+    let job = entry.job;
+    let id = &job.spec.id;
+    let placed = job.places.len() as u32;
+    let missing: Vec<u32> = job.pending().collect();
+    if missing.is_empty() {
+        return;
+    }
+    let under = match job.attempt {
+        None => Under::Fresh,
+        Some(attempt) => {
+            let mixed = job.places.values().flatten().any(|p| p.attempt != attempt);
+            // Running and succeeded members together are fewer than the minimum.
+            let broken = job.begun && placed + job.done.len() < job.spec.minimum();
+            if mixed || broken {
+                decisions.gang_stops.push((id.clone(), "a member is gone"));
+                return;
+            }
+            Under::Same(attempt)
+        }
+    };
+    let mut wanted = *used;
+    wanted.add(&job.spec.need.times(missing.len() as u32));
+    if !policy.within_limit(&job.spec.team, &wanted) {
+        decisions.waits.push((id.clone(), "its team's limit"));
+        return;
+    }
+    let before = rooms.clone();
+    let found = allocate::gang(cluster, job, &missing, rooms);
+    // Ready when the allocated members reach the minimum, or with those that succeeded.
+    if found.members.len() as u32 + placed + job.done.len() >= job.spec.minimum() {
+        *used = wanted;
+        decisions.starts.push(Start {
+            job: id.clone(),
+            under,
+            members: found.members,
+        });
+        return;
+    }
+    let age = now.saturating_duration_since(job.submitted);
+    if age < cluster.timing.gang_wait * KEEP_ROOM_AFTER {
+        *rooms = before;
+    }
+    decisions
+        .waits
+        .push((id.clone(), "room for all its members"));
+    decisions.short.push(Short {
+        spec: job.spec.clone(),
+        tasks: missing.len() as u32,
+        submitted: job.submitted,
+        target: entry.target,
+        zone: found.zone,
+    });
+}
+
+/// An array: every task is a gang of one.
+fn step_array(
+    cluster: &Cluster,
+    policy: &Policy,
+    entry: &order::Entry,
+    used: &mut Amount,
+    rooms: &mut Rooms,
+    decisions: &mut Decisions,
+) {
+    let job = entry.job;
+    let id = &job.spec.id;
+    let missing: Vec<u32> = job.pending().take(MOST_STARTS_A_JOB).collect();
+    if missing.is_empty() {
+        return;
+    }
+    let mut allowed = 0;
+    let mut sum = *used;
+    for _ in &missing {
+        sum.add(&job.spec.need);
+        if !policy.within_limit(&job.spec.team, &sum) {
+            break;
+        }
+        allowed += 1;
+    }
+    if allowed == 0 {
+        decisions.waits.push((id.clone(), "its team's limit"));
+        return;
+    }
+    let found = allocate::array(cluster, job, &missing[..allowed], rooms);
+    let placed = found.members.len();
+    used.add(&job.spec.need.times(placed as u32));
+    for member in found.members {
+        decisions.starts.push(Start {
+            job: id.clone(),
+            under: Under::Fresh,
+            members: vec![member],
+        });
+    }
+    if placed < allowed {
+        decisions.waits.push((id.clone(), "room"));
+        decisions.short.push(Short {
+            spec: job.spec.clone(),
+            tasks: (allowed - placed) as u32,
+            submitted: job.submitted,
+            target: entry.target,
+            zone: found.zone,
+        });
+    }
+}
+
+/// Carries the decisions over into the picture.
+pub fn apply(cluster: &mut Cluster, decisions: &Decisions, now: Instant) {
+    for start in &decisions.starts {
+        let attempt = match start.under {
+            Under::Fresh => cluster.next_attempt(),
+            Under::Same(attempt) => attempt,
+        };
+        for (index, machine) in &start.members {
+            let task = TaskId {
+                job: start.job.clone(),
+                index: *index,
+            };
+            tracing::debug!(%task, %machine, attempt = attempt.0, "start");
+            cluster.plan(&task, machine, attempt, now);
+        }
+    }
+    for (job, why) in &decisions.gang_stops {
+        tracing::info!(%job, why, "gang stops");
+        cluster.stop_gang(job);
+    }
+    for halt in &decisions.halts {
+        tracing::info!(task = %halt.task, machine = %halt.machine, "task stops");
+        let slot = crate::cluster::SlotId {
+            task: halt.task.clone(),
+            attempt: halt.attempt,
+        };
+        cluster.stop(&halt.machine, &slot, halt.grace_s);
+    }
+    for (id, why) in &decisions.waits {
+        if let Some(job) = cluster.jobs.get_mut(id) {
+            job.waits_for = why;
+        }
+    }
+}
+
+/// Zones in which a job's tasks may be now.
+pub(crate) fn zones_of<'a>(cluster: &'a Cluster, job: &'a Job) -> HashMap<&'a str, u32> {
+    let mut zones = HashMap::new();
+    for place in job.places.values().flatten() {
+        if let Some(machine) = cluster.machines.get(&place.machine) {
+            *zones.entry(machine.zone.as_str()).or_default() += 1;
+        }
+    }
+    zones
+}
--- /dev/null
+++ b/src/sched/preempt.rs
@@ -0,0 +1,262 @@
+//! Stops that make room: preemption as the protocol allows it, and machines about to leave.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use super::order::Entry;
+use super::{Decisions, Halt, Policy};
+use crate::cluster::{build_named, Cluster, Drain, Job, Machine, Phase, Slot, SlotId};
+use crate::model::{Amount, JobId, MachineId, TaskId};
+
+/// Time for a stop to reach a machine by way of its report, when the direct way is lost.
+const STOP_ARRIVES: Duration = Duration::from_secs(3);
+/// How long a job within its team's guarantee waits for room to come free by itself before
+/// another team's work of the same rank is stopped for it: what is stopped is often lost.
+const GUARANTEE_PATIENCE: Duration = Duration::from_secs(60);
+
+/// What the claimant may stop.
+fn may_stop(
+    cluster: &Cluster,
+    policy: &Policy,
+    used: &HashMap<&str, Amount>,
+    claimant: &Entry,
+    victim: &Job,
+    now: Instant,
+) -> bool {
+    if cluster.blocked(victim) || victim.stopping {
+        return false;
+    }
+    if victim.spec.rank < claimant.job.spec.rank {
+        return true;
+    }
+    let other_team = victim.spec.team != claimant.job.spec.team;
+    // Beyond its guarantee even without the task in question.
+    let beyond = used.get(victim.spec.team.as_str()).is_some_and(|sum| {
+        let mut rest = *sum;
+        rest.sub(&victim.spec.need);
+        !policy.within_guarantee(&victim.spec.team, &rest)
+    });
+    let waited = now.saturating_duration_since(claimant.job.submitted);
+    claimant.guaranteed && waited > GUARANTEE_PATIENCE && other_team && beyond
+}
+
+/// What stopping a task throws away, in seconds of work.
+fn loss(job: &Job, slot: &Slot, now: Instant) -> f64 {
+    let ran = slot
+        .running_since
+        .map_or(0.0, |at| now.saturating_duration_since(at).as_secs_f64());
+    let lost = if job.spec.saves() {
+        job.spec.save_s
+    } else {
+        ran
+    };
+    if job.gang() {
+        lost * f64::from(job.spec.tasks)
+    } else {
+        lost
+    }
+}
+
+/// Finds victims for jobs that found no room, highest first.
+pub fn preempt(
+    cluster: &Cluster,
+    policy: &Policy,
+    wanting: &[(&Entry, u32)],
+    decisions: &mut Decisions,
+    now: Instant,
+) {
+    if wanting.is_empty() {
+        return;
+    }
+    let lowest = cluster.jobs.values().filter(|j| j.placed());
+    let lowest = lowest.map(|j| j.spec.rank).min();
+    let used = cluster.team_use();
+    let mut promised: BTreeMap<MachineId, Amount> = BTreeMap::new();
+    for start in &decisions.starts {
+        if let Some(job) = cluster.jobs.get(&start.job) {
+            for (_, machine) in &start.members {
+                let sum = promised.entry(machine.clone()).or_default();
+                sum.add(&job.spec.need);
+            }
+        }
+    }
+    let mut taken: HashSet<(MachineId, SlotId)> = HashSet::new();
+    for (claimant, tasks) in wanting {
+        let by_rank = lowest.is_some_and(|rank| rank < claimant.job.spec.rank);
+        let waited = now.saturating_duration_since(claimant.job.submitted);
+        let by_guarantee = claimant.guaranteed && waited > GUARANTEE_PATIENCE;
+        if !by_rank && !by_guarantee {
+            continue;
+        }
+        let mut plan = Vec::new();
+        let mut ready = 0;
+        for _ in 0..*tasks {
+            let best = cluster
+                .machines
+                .values()
+                .filter(|m| m.takes_tasks(now, cluster.timing.quiet))
+                .filter(|m| claimant.job.spec.allows(&m.build, &m.zone, m.spot))
+                .filter_map(|machine| {
+                    let promised = promised.get(&machine.id).copied().unwrap_or_default();
+                    let victims = victims_on(
+                        cluster, policy, &used, claimant, machine, promised, &taken, now,
+                    )?;
+                    Some((victims, machine))
+                })
+                .min_by(|a, b| a.0 .0.total_cmp(&b.0 .0));
+            let Some(((_, victims), machine)) = best else {
+                break;
+            };
+            ready += 1;
+            let sum = promised.entry(machine.id.clone()).or_default();
+            sum.add(&claimant.job.spec.need);
+            for slot in victims {
+                // Its room is the claimant's now: it must not be counted for another.
+                taken.insert((machine.id.clone(), slot.clone()));
+                plan.push((machine.id.clone(), slot));
+            }
+        }
+        // A gang gains nothing by room for a part of it.
+        if ready == 0 || (claimant.job.gang() && ready < *tasks) {
+            continue;
+        }
+        for (machine, slot) in plan {
+            halt(cluster, decisions, &machine, &slot, "preempted");
+        }
+    }
+}
+
+/// The cheapest victims on one machine that make room for one task; none where there is room
+/// already or stops under way make it.
+#[allow(clippy::too_many_arguments)]
+fn victims_on(
+    cluster: &Cluster,
+    policy: &Policy,
+    used: &HashMap<&str, Amount>,
+    claimant: &Entry,
+    machine: &Machine,
+    promised: Amount,
+    taken: &HashSet<(MachineId, SlotId)>,
+    now: Instant,
+) -> Option<(f64, Vec<SlotId>)> {
+    let build = build_named(cluster.catalog(), &machine.build)?;
+    let need = &claimant.job.spec.need;
+    let mut free = build.room;
+    free.sub(&promised);
+    let mut candidates = Vec::new();
+    for (id, slot) in machine.slots.iter().filter(|(_, slot)| slot.occupies()) {
+        let spec = slot.spec.as_ref()?;
+        let leaving = slot.stop.is_some() || taken.contains(&(machine.id.clone(), id.clone()));
+        if leaving {
+            continue;
+        }
+        free.sub(&spec.need);
+        let job = cluster.jobs.get(&id.task.job)?;
+        if may_stop(cluster, policy, used, claimant, job, now) {
+            candidates.push((loss(job, slot, now), id, spec.need));
+        }
+    }
+    candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut cost = 0.0;
+    let mut victims = Vec::new();
+    for (loss, id, amount) in candidates {
+        if need.fits(&free) {
+            break;
+        }
+        free.add(&amount);
+        cost += loss;
+        victims.push(id.clone());
+    }
+    need.fits(&free).then_some((cost, victims))
+}
+
+/// Stops one task, or the gang it belongs to.
+fn halt(
+    cluster: &Cluster,
+    decisions: &mut Decisions,
+    machine: &MachineId,
+    slot: &SlotId,
+    why: &'static str,
+) {
+    let Some(job) = cluster.jobs.get(&slot.task.job) else {
+        return;
+    };
+    if job.gang() {
+        let id = &job.spec.id;
+        if !decisions
+            .gang_stops
+            .iter()
+            .any(|(stopped, _)| stopped == id)
+        {
+            decisions.gang_stops.push((id.clone(), why));
+        }
+        return;
+    }
+    let grace_s = if job.spec.saves() {
+        job.spec.grace()
+    } else {
+        0.0
+    };
+    decisions.halts.push(Halt {
+        task: TaskId {
+            job: job.spec.id.clone(),
+            index: slot.task.index,
+        },
+        attempt: slot.attempt,
+        machine: machine.clone(),
+        grace_s,
+    });
+}
+
+/// Moves work off machines that the cloud is about to take, and off sick ones: progress is
+/// saved while there is time, and what can't save runs on in the hope that it completes.
+pub fn leave_noticed(cluster: &Cluster, decisions: &mut Decisions, now: Instant) {
+    let mut seen: HashSet<JobId> = HashSet::new();
+    for machine in cluster.machines.values() {
+        let sick = matches!(
+            machine.drain,
+            Some(Drain::Sick | Drain::Slow | Drain::Operator)
+        );
+        if machine.leaves.is_none() && !sick {
+            continue;
+        }
+        for (id, slot) in &machine.slots {
+            let idle = slot.stop.is_some() || !slot.occupies();
+            let Some(job) = cluster.jobs.get(&id.task.job).filter(|_| !idle) else {
+                continue;
+            };
+            if job.stopping || (job.gang() && !seen.insert(job.spec.id.clone())) {
+                continue;
+            }
+            let not_begun = !matches!(slot.phase, Phase::Running | Phase::Flushing);
+            let time = machine.leaves.map(|at| at.saturating_duration_since(now));
+            let grace = crate::config::secs(job.spec.grace()) + STOP_ARRIVES;
+            let go = match time {
+                // Saving takes its time; until then the task may still complete.
+                Some(time) if job.spec.saves() && !not_begun => time <= grace + STOP_ARRIVES,
+                // It can't save: it may run until the end.
+                Some(_) if !not_begun => false,
+                // It has done nothing yet: elsewhere it need not do it twice.
+                Some(_) => true,
+                None => not_begun || job.spec.saves(),
+            };
+            if go && (not_begun && job.gang() && !job.begun) {
+                // Only this member is replaced, under the same attempt.
+                decisions.halts.push(Halt {
+                    task: id.task.clone(),
+                    attempt: id.attempt,
+                    machine: machine.id.clone(),
+                    grace_s: 0.0,
+                });
+            } else if go {
+                halt(
+                    cluster,
+                    decisions,
+                    &machine.id,
+                    id,
+                    "its machine is leaving",
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/service.rs
@@ -0,0 +1,248 @@
+//! What the parts of one process share, each behind a short lock of its own.
+//!
+//! Locks are taken in the order replica, role, cluster, the rest; they are never held across
+//! an await, and nothing is sent, written or encoded under them.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::{watch, Notify};
+use tracing::warn;
+
+use crate::cluster::{Catalog, Cluster, Drain};
+use crate::config::Settings;
+use crate::fleet::Thrift;
+use crate::leader::Role;
+use crate::metrics::Metrics;
+use crate::model::{JobId, MachineId};
+use crate::sched::Policy;
+use crate::store::from_value;
+use crate::store::replica::{News, Replica};
+
+/// A value behind a short lock. A panic elsewhere does not make it unusable: every change of
+/// what is kept here is complete in itself.
+#[derive(Debug, Default)]
+pub struct Shelf<T>(Mutex<T>);
+
+impl<T> Shelf<T> {
+    /// Puts a value there.
+    pub fn new(value: T) -> Self {
+        Self(Mutex::new(value))
+    }
+
+    /// Takes the lock.
+    pub fn lock(&self) -> MutexGuard<'_, T> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// When the state service last answered, and whether it has failed since.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Contact {
+    /// When the last request that was answered had been sent.
+    pub answered: Option<Instant>,
+    /// Since when it has not answered.
+    pub failing_since: Option<Instant>,
+}
+
+/// Operators' settings, kept in the state service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorSettings {
+    /// Idle machines are kept this many times as long as a new one takes to be as useful.
+    #[serde(default = "one")]
+    pub idle_factor: f64,
+    /// Spare room for classes that start promptly, as a part of what is expected.
+    #[serde(default = "one")]
+    pub spare_factor: f64,
+    /// Machines that get no new tasks.
+    #[serde(default)]
+    pub drained: Vec<String>,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl Default for OperatorSettings {
+    fn default() -> Self {
+        Self {
+            idle_factor: one(),
+            spare_factor: one(),
+            drained: Vec::new(),
+        }
+    }
+}
+
+/// Largest factor operators may set: beyond it nothing would ever be returned.
+const MOST_FACTOR: f64 = 100.0;
+/// Most machines drained by name.
+const MOST_DRAINED: usize = 500;
+
+impl OperatorSettings {
+    /// The first field that makes no sense.
+    pub fn wrong_field(&self) -> Option<&'static str> {
+        let factor_ok = |f: f64| f.is_finite() && (0.0..=MOST_FACTOR).contains(&f);
+        if !factor_ok(self.idle_factor) {
+            return Some("idle_factor");
+        }
+        if !factor_ok(self.spare_factor) {
+            return Some("spare_factor");
+        }
+        let names_ok = self.drained.iter().all(|name| !name.is_empty());
+        (self.drained.len() > MOST_DRAINED || !names_ok).then_some("drained")
+    }
+
+    /// What of it the fleet needs.
+    pub fn thrift(&self) -> Thrift {
+        Thrift {
+            idle_factor: self.idle_factor,
+            spare_factor: self.spare_factor,
+        }
+    }
+}
+
+/// Everything shared.
+pub struct Shared {
+    /// The platform's settings.
+    pub settings: Settings,
+    /// What scheduling needs of them.
+    pub policy: Policy,
+    /// Our records.
+    pub replica: Shelf<Replica>,
+    /// The replica's revision, for those who wait for one.
+    pub revision: watch::Sender<u64>,
+    /// Who leads.
+    pub role: Shelf<Role>,
+    /// The picture, while we lead.
+    pub cluster: Shelf<Option<Cluster>>,
+    /// Machine types, once known.
+    pub catalog: Shelf<Option<Catalog>>,
+    /// Counts of completed and running tasks, as the leader last told.
+    pub counts: Shelf<HashMap<JobId, (u32, u32)>>,
+    /// Contact with the state service.
+    pub contact: Shelf<Contact>,
+    /// When a peer last told that it is in contact with the state service.
+    pub peer_contact: Shelf<Option<Instant>>,
+    /// Operators' settings in force.
+    pub operator: Shelf<OperatorSettings>,
+    /// Figures.
+    pub metrics: Shelf<Metrics>,
+    /// Wakes the round.
+    pub wake_round: Notify,
+    /// Wakes the election.
+    pub wake_leader: Notify,
+}
+
+/// A node whose contact is older than this while another node's is not can take no requests.
+const CONTACT_LOST: Duration = Duration::from_secs(4);
+
+impl Shared {
+    /// The state of a process that has just started.
+    pub fn new(settings: Settings) -> Arc<Self> {
+        Arc::new(Self {
+            policy: Policy::new(&settings),
+            role: Shelf::new(Role::new(&settings)),
+            replica: Shelf::default(),
+            revision: watch::Sender::new(0),
+            cluster: Shelf::default(),
+            catalog: Shelf::default(),
+            counts: Shelf::default(),
+            contact: Shelf::default(),
+            peer_contact: Shelf::default(),
+            operator: Shelf::default(),
+            metrics: Shelf::default(),
+            wake_round: Notify::new(),
+            wake_leader: Notify::new(),
+            settings,
+        })
+    }
+
+    /// A request sent at `sent` was answered by the state service.
+    pub fn store_answered(&self, sent: Instant) {
+        let mut contact = self.contact.lock();
+        contact.answered = contact.answered.max(Some(sent));
+        contact.failing_since = None;
+    }
+
+    /// A request to the state service failed.
+    pub fn store_failed(&self) {
+        let mut contact = self.contact.lock();
+        contact.failing_since.get_or_insert_with(Instant::now);
+    }
+
+    /// Whether this node can take requests. In an outage that all nodes share none is better
+    /// than another, and all go on.
+    pub fn fit_for_requests(&self, now: Instant) -> bool {
+        let contact = *self.contact.lock();
+        let failing = contact
+            .failing_since
+            .is_some_and(|since| now.saturating_duration_since(since) > CONTACT_LOST);
+        let peer = *self.peer_contact.lock();
+        let peer_fine = peer.is_some_and(|at| now.saturating_duration_since(at) < CONTACT_LOST);
+        let loaded = self.replica.lock().loaded;
+        loaded && !(failing && peer_fine)
+    }
+
+    /// Passes on what the watch brought.
+    pub fn tell(&self, news: &[News]) {
+        let (now, wall) = (Instant::now(), SystemTime::now());
+        let replica = self.replica.lock();
+        let mut leader_changed = false;
+        let mut jobs = false;
+        for item in news {
+            match item {
+                News::Leader => leader_changed = true,
+                News::Settings => {
+                    let read = replica.settings.record.as_ref().and_then(from_value);
+                    let settings: OperatorSettings = read.unwrap_or_default();
+                    *self.operator.lock() = settings;
+                }
+                News::Job(id) => {
+                    jobs = true;
+                    if let Some(cluster) = self.cluster.lock().as_mut() {
+                        cluster.sync_job(id, &replica, now, wall, false);
+                    }
+                }
+            }
+        }
+        if leader_changed {
+            let record = replica.leader.as_ref().map(|leader| &leader.record);
+            let lost = self.role.lock().records_say(record);
+            if lost {
+                warn!("the lead is lost");
+                *self.cluster.lock() = None;
+            }
+            self.wake_leader.notify_one();
+        }
+        drop(replica);
+        if jobs {
+            self.wake_round.notify_one();
+        }
+    }
+
+    /// Drains what the operators want drained.
+    pub fn drain_by_operator(&self, cluster: &mut Cluster) {
+        let operator = self.operator.lock();
+        for machine in cluster.machines.values_mut() {
+            let wanted = operator.drained.iter().any(|name| **name == *machine.id.0);
+            match (wanted, machine.drain) {
+                (true, None) => machine.drain = Some(Drain::Operator),
+                (false, Some(Drain::Operator)) => machine.drain = None,
+                _ => {}
+            }
+        }
+    }
+
+    /// Drops a machine that is gone for sure.
+    pub fn machine_gone(&self, ids: &[MachineId]) {
+        if let Some(cluster) = self.cluster.lock().as_mut() {
+            for id in ids {
+                cluster.machine_gone(id);
+            }
+        }
+        self.wake_round.notify_one();
+    }
+}
--- /dev/null
+++ b/src/store/client.rs
@@ -0,0 +1,208 @@
+//! The state service's protocol over pooled connections. Lives on one thread.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use awc::http::Method;
+use awc::Client;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::{Change, Condition, Follow, Group, Outcome, Page, StoreError};
+use crate::wire;
+
+/// No answer by then means an unknown outcome. The service answers within a few hundred
+/// milliseconds; a user waits a second before it counts as late.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
+/// Largest body taken from the service; a watch has no limit of its own.
+const LARGEST: usize = 16 * 1024 * 1024;
+/// Keys a page, so that no page is refused for its size.
+const PAGE: usize = 500;
+
+/// The client.
+#[derive(Clone)]
+pub struct StoreClient {
+    base: String,
+    http: Client,
+}
+
+#[derive(Serialize)]
+struct Multi<'a> {
+    when: &'a [Condition],
+    #[serde(skip_serializing_if = "<[Change]>::is_empty")]
+    apply: &'a [Change],
+}
+
+#[derive(Deserialize)]
+struct Revision {
+    #[serde(rename = "epoch")]
+    revision: u64,
+    #[serde(default)]
+    failed: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Ttl {
+    #[serde(rename = "ttlMs")]
+    ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Lease {
+    hold: u64,
+}
+
+impl StoreClient {
+    /// A client of the service at `address`.
+    pub fn new(address: SocketAddrV4, http: Client) -> Self {
+        Self {
+            base: format!("http://{address}"),
+            http,
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<(u16, Vec<u8>), StoreError> {
+        let request = self
+            .http
+            .request(method, format!("{}{path}", self.base))
+            .timeout(limit);
+        let sent = match body {
+            Some(body) => request.content_type(wire::CBOR).send_body(body),
+            None => request.send(),
+        };
+        let mut answer = sent.await.map_err(|_| StoreError::Unknown)?;
+        let status = answer.status().as_u16();
+        let body = answer
+            .body()
+            .limit(LARGEST)
+            .await
+            .map_err(|_| StoreError::Unknown)?;
+        Ok((status, body.to_vec()))
+    }
+
+    fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+        wire::decode(body).map_err(|error| StoreError::Nonsense(error.to_string()))
+    }
+
+    fn refusal(status: u16, body: &[u8]) -> StoreError {
+        match status {
+            429 | 503 => StoreError::Refused(status),
+            404 => StoreError::LeaseOver,
+            410 => StoreError::TooOld,
+            _ => StoreError::Nonsense(format!(
+                "status {status}: {}",
+                wire::decode::<super::Value>(body)
+                    .map(|v| format!("{v:?}"))
+                    .unwrap_or_default()
+            )),
+        }
+    }
+
+    /// One transaction, as it stands.
+    pub async fn transact(&self, group: &Group) -> Outcome {
+        let body = wire::encode(&Multi {
+            when: &group.when,
+            apply: &group.apply,
+        });
+        let sent = self.call(Method::POST, "/multi", Some(body), ANSWER_LIMIT);
+        match sent.await {
+            Err(error) => Outcome::Failed(error),
+            Ok((200, body)) => match Self::read::<Revision>(&body) {
+                Ok(read) => Outcome::Committed(read.revision),
+                // It was executed, but not at a revision we can tell.
+                Err(_) => Outcome::Failed(StoreError::Unknown),
+            },
+            Ok((409, body)) => match Self::read::<Revision>(&body) {
+                Ok(read) => Outcome::Conflict {
+                    failed: read.failed,
+                    revision: read.revision,
+                },
+                Err(error) => Outcome::Failed(error),
+            },
+            Ok((status, body)) => Outcome::Failed(Self::refusal(status, &body)),
+        }
+    }
+
+    /// All keys below a prefix and the revision from which a watch has to go on.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<super::Row>, u64), StoreError> {
+        let mut rows = Vec::new();
+        let mut first_revision = None;
+        let mut after = String::new();
+        loop {
+            let mut path = format!("/keys?under={prefix}&limit={PAGE}");
+            if !after.is_empty() {
+                path.push_str("&after=");
+                path.push_str(&after);
+            }
+            let (status, body) = self.call(Method::GET, &path, None, ANSWER_LIMIT).await?;
+            if status != 200 {
+                return Err(Self::refusal(status, &body));
+            }
+            let page: Page = Self::read(&body)?;
+            // The oldest page's revision: the watch then brings again what changed meanwhile.
+            let revision = *first_revision.get_or_insert(page.revision);
+            let last = page.rows.last().map(|row| row.key.clone());
+            rows.extend(page.rows);
+            match last {
+                Some(last) if page.more => after = last,
+                _ => return Ok((rows, revision)),
+            }
+        }
+    }
+
+    /// Waits for changes below a prefix after a revision.
+    pub async fn follow(
+        &self,
+        prefix: &str,
+        after: u64,
+        hold: Duration,
+        limit: Duration,
+    ) -> Result<Follow, StoreError> {
+        let path = format!(
+            "/follow?under={prefix}&after={after}&holdMs={}",
+            hold.as_millis()
+        );
+        let (status, body) = self.call(Method::GET, &path, None, limit).await?;
+        if status == 200 {
+            Self::read(&body)
+        } else {
+            Err(Self::refusal(status, &body))
+        }
+    }
+
+    /// A new lease.
+    pub async fn grant(&self, ttl: Duration) -> Result<u64, StoreError> {
+        let body = wire::encode(&Ttl {
+            ttl_ms: ttl.as_millis() as u64,
+        });
+        let sent = self.call(Method::POST, "/leases", Some(body), ANSWER_LIMIT);
+        match sent.await? {
+            (200, body) => Self::read::<Lease>(&body).map(|lease| lease.hold),
+            (status, body) => Err(Self::refusal(status, &body)),
+        }
+    }
+
+    /// Renews a lease.
+    pub async fn renew(&self, lease: u64, limit: Duration) -> Result<(), StoreError> {
+        let path = format!("/leases/{lease}/renew");
+        match self.call(Method::POST, &path, None, limit).await? {
+            (200, _) => Ok(()),
+            (status, body) => Err(Self::refusal(status, &body)),
+        }
+    }
+
+    /// Ends a lease; its keys go with it.
+    pub async fn end(&self, lease: u64) -> Result<(), StoreError> {
+        let path = format!("/leases/{lease}");
+        match self.call(Method::DELETE, &path, None, ANSWER_LIMIT).await? {
+            (200 | 204 | 404, _) => Ok(()),
+            (status, body) => Err(Self::refusal(status, &body)),
+        }
+    }
+}
--- /dev/null
+++ b/src/store/keys.rs
@@ -0,0 +1,137 @@
+//! The key layout and the records below the keys.
+//!
+//! All keys share one prefix so that one watch a node brings everything, and so that a node
+//! whose replica has reached a revision knows all of our records as of that revision.
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{JobId, JobSpec, Term, Verdict};
+
+/// Prefix of all our keys.
+pub const ROOT: &str = "kl/";
+/// Who leads; hangs on the leader's lease.
+pub const LEADER: &str = "kl/leader";
+/// The highest term ever given out.
+pub const TERM: &str = "kl/term";
+/// Operators' settings.
+pub const SETTINGS: &str = "kl/settings";
+
+const JOB: &str = "kl/job/";
+const LIVE: &str = "kl/live/";
+const DONE: &str = "kl/done/";
+const ROSTER: &str = "kl/roster/";
+
+/// The verdict on a job; kept for ever.
+pub fn job(id: &JobId) -> String {
+    format!("{JOB}{id}")
+}
+
+/// The job's description while any task of it can be anywhere.
+pub fn live(id: &JobId) -> String {
+    format!("{LIVE}{id}")
+}
+
+/// One chunk of the job's set of completed tasks.
+pub fn done(id: &JobId, chunk: usize) -> String {
+    format!("{DONE}{id}/{chunk}")
+}
+
+/// One shard of the list of machines that may hold tasks.
+pub fn roster(shard: usize) -> String {
+    format!("{ROSTER}{shard:04}")
+}
+
+/// What a key is about.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Key {
+    /// See [`LEADER`].
+    Leader,
+    /// See [`TERM`].
+    Term,
+    /// See [`SETTINGS`].
+    Settings,
+    /// See [`job`].
+    Job(JobId),
+    /// See [`live`].
+    Live(JobId),
+    /// See [`done`].
+    Done(JobId, usize),
+    /// See [`roster`].
+    Roster(usize),
+}
+
+/// Reads a key.
+pub fn parse(key: &str) -> Option<Key> {
+    match key {
+        LEADER => return Some(Key::Leader),
+        TERM => return Some(Key::Term),
+        SETTINGS => return Some(Key::Settings),
+        _ => {}
+    }
+    if let Some(id) = key.strip_prefix(JOB) {
+        return JobId::parse(id).map(Key::Job);
+    }
+    if let Some(id) = key.strip_prefix(LIVE) {
+        return JobId::parse(id).map(Key::Live);
+    }
+    if let Some(rest) = key.strip_prefix(DONE) {
+        let (id, chunk) = rest.split_once('/')?;
+        return Some(Key::Done(JobId::parse(id)?, chunk.parse().ok()?));
+    }
+    let shard = key.strip_prefix(ROSTER)?;
+    shard.parse().ok().map(Key::Roster)
+}
+
+/// Record below [`LEADER`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// The leading node.
+    pub member: String,
+    /// Where users and workers reach it.
+    pub address: String,
+    /// Its term.
+    pub term: Term,
+    /// Its lease.
+    pub lease: u64,
+}
+
+/// Record below [`TERM`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TermRecord {
+    /// The highest term given out.
+    pub term: Term,
+}
+
+/// Record below [`job`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// What is known for good.
+    pub verdict: Verdict,
+    /// Number of tasks, for display after the end.
+    pub tasks: u32,
+}
+
+/// Record below [`live`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LiveRecord {
+    /// The job.
+    pub spec: JobSpec,
+    /// When it was taken, in milliseconds of the time of day.
+    pub submitted_ms: u64,
+    /// Whether any start of a task of it may have been sent.
+    pub started: bool,
+}
+
+/// Record below [`done`]: a bit a task, four to the hexadecimal digit.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct DoneRecord {
+    /// The digits.
+    pub bits: String,
+}
+
+/// Record below [`roster`].
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct RosterRecord {
+    /// The machines.
+    pub machines: Vec<String>,
+}
--- /dev/null
+++ b/src/store/limiter.rs
@@ -0,0 +1,137 @@
+//! One token bucket for requests and one for changes, so that this node keeps to its part of
+//! what the state service takes from all nodes together.
+
+use std::time::{Duration, Instant};
+
+/// A bucket that holds one second's worth at most.
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    level: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    /// A full bucket.
+    pub fn new(rate: f64, now: Instant) -> Self {
+        Self {
+            rate,
+            level: rate.max(1.0),
+            at: now,
+        }
+    }
+
+    /// Changes the rate, keeping what is in the bucket as far as it still fits.
+    pub fn set_rate(&mut self, rate: f64, now: Instant) {
+        self.refill(now);
+        self.rate = rate;
+        self.level = self.level.min(rate.max(1.0));
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.level = (self.level + passed * self.rate).min(self.rate.max(1.0));
+        self.at = now;
+    }
+
+    /// Whether `amount` can be had now.
+    pub fn has(&mut self, amount: f64, now: Instant) -> bool {
+        self.refill(now);
+        self.level >= amount.min(self.rate.max(1.0))
+    }
+
+    /// Takes `amount`, going below zero where it has to.
+    pub fn take(&mut self, amount: f64, now: Instant) {
+        self.refill(now);
+        self.level -= amount;
+    }
+
+    /// Time until `amount` can be had.
+    pub fn wait(&mut self, amount: f64, now: Instant) -> Duration {
+        self.refill(now);
+        let missing = amount.min(self.rate.max(1.0)) - self.level;
+        if missing <= 0.0 || self.rate <= 0.0 {
+            Duration::ZERO
+        } else {
+            Duration::from_secs_f64(missing / self.rate)
+        }
+    }
+}
+
+/// Part of the service's limits that all nodes together leave unused, since each node's clock
+/// and the service's differ and bursts meet.
+const HEADROOM: f64 = 0.9;
+/// The leader's part of the limits: it writes for all, the others only verdicts.
+const LEADER_PART: f64 = 0.5;
+
+/// Both buckets of a node.
+#[derive(Debug)]
+pub struct Limiter {
+    nodes: usize,
+    rps: f64,
+    write_rps: f64,
+    /// Requests.
+    pub requests: Bucket,
+    /// Puts and deletes.
+    pub writes: Bucket,
+}
+
+impl Limiter {
+    /// A follower's limiter among `nodes` nodes.
+    pub fn new(rps: f64, write_rps: f64, nodes: usize, now: Instant) -> Self {
+        let part = Self::part(nodes, false);
+        Self {
+            nodes,
+            rps,
+            write_rps,
+            requests: Bucket::new(rps * part, now),
+            writes: Bucket::new(write_rps * part, now),
+        }
+    }
+
+    fn part(nodes: usize, leading: bool) -> f64 {
+        let others = nodes.saturating_sub(1);
+        if others == 0 {
+            HEADROOM
+        } else if leading {
+            HEADROOM * LEADER_PART
+        } else {
+            HEADROOM * (1.0 - LEADER_PART) / others as f64
+        }
+    }
+
+    /// Takes the leader's or a follower's part.
+    pub fn lead(&mut self, leading: bool, now: Instant) {
+        let part = Self::part(self.nodes, leading);
+        self.requests.set_rate(self.rps * part, now);
+        self.writes.set_rate(self.write_rps * part, now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_bucket_gives_a_second_s_worth_and_then_the_rate() {
+        let start = Instant::now();
+        let mut bucket = Bucket::new(10.0, start);
+        bucket.take(10.0, start);
+        assert!(!bucket.has(1.0, start));
+        assert_eq!(bucket.wait(5.0, start), Duration::from_millis(500));
+        assert!(bucket.has(5.0, start + Duration::from_millis(500)));
+        assert!(!bucket.has(6.0, start + Duration::from_millis(500)));
+    }
+
+    #[test]
+    fn all_nodes_together_stay_below_the_service_s_limits() {
+        let now = Instant::now();
+        for nodes in 1..6 {
+            let leader = Limiter::part(nodes, true);
+            let rest = Limiter::part(nodes, false) * (nodes - 1) as f64;
+            assert!(leader + rest <= HEADROOM + 1e-9, "{nodes} nodes");
+        }
+        let limiter = Limiter::new(80.0, 30.0, 3, now);
+        assert!(limiter.writes.rate < limiter.requests.rate);
+    }
+}
--- /dev/null
+++ b/src/store/replica.rs
@@ -0,0 +1,183 @@
+//! What this node knows of our records: everything up to one revision, from the watch.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::keys::{self, DoneRecord, JobRecord, Key, LeaderRecord, LiveRecord, RosterRecord};
+use super::{from_value, Event, Row, Value};
+use crate::model::{JobId, Term, Verdict};
+
+/// A record with its version.
+#[derive(Debug, Clone)]
+pub struct Versioned<T> {
+    /// The version.
+    pub version: u64,
+    /// The record.
+    pub record: T,
+}
+
+/// The records as of [`Replica::revision`].
+#[derive(Debug, Default)]
+pub struct Replica {
+    /// All changes up to this one are in.
+    pub revision: u64,
+    /// Whether the first reading is complete.
+    pub loaded: bool,
+    /// Who leads.
+    pub leader: Option<Versioned<LeaderRecord>>,
+    /// Highest term and the version of its key.
+    pub term: Versioned<Term>,
+    /// Operators' settings as they stand, and the version of their key.
+    pub settings: Versioned<Option<Value>>,
+    /// Verdicts.
+    pub jobs: HashMap<JobId, Versioned<(Verdict, u32)>>,
+    /// Descriptions.
+    pub live: BTreeMap<JobId, Versioned<LiveRecord>>,
+    /// Completed tasks.
+    pub done: BTreeMap<(JobId, usize), DoneRecord>,
+    /// Machines that may hold tasks.
+    pub roster: BTreeMap<usize, RosterRecord>,
+}
+
+impl<T: Default> Default for Versioned<T> {
+    fn default() -> Self {
+        Self {
+            version: 0,
+            record: T::default(),
+        }
+    }
+}
+
+/// What a leader has to hear of.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum News {
+    /// This job's records changed.
+    Job(JobId),
+    /// Who leads changed.
+    Leader,
+    /// Operators' settings changed.
+    Settings,
+}
+
+impl Replica {
+    /// Starts over from a full reading.
+    pub fn load(&mut self, rows: Vec<Row>, revision: u64) -> Vec<News> {
+        let mut before: Vec<JobId> = self.jobs.keys().cloned().collect();
+        *self = Replica::default();
+        let mut news = vec![News::Leader, News::Settings];
+        for row in rows {
+            self.put(&row.key, &row.value, row.version);
+        }
+        before.extend(self.jobs.keys().cloned());
+        before.sort();
+        before.dedup();
+        news.extend(before.into_iter().map(News::Job));
+        self.revision = revision;
+        self.loaded = true;
+        news
+    }
+
+    /// Takes what the watch brought.
+    pub fn apply(&mut self, events: &[Event], revision: u64) -> Vec<News> {
+        let mut news = Vec::new();
+        for event in events {
+            let told = match (&event.put, &event.delete, &event.value) {
+                (Some(key), _, Some(value)) => self.put(key, value, event.version),
+                (None, Some(key), _) => self.delete(key, event.version),
+                _ => None,
+            };
+            news.extend(told.filter(|told| news.last() != Some(told)));
+        }
+        self.revision = self.revision.max(revision);
+        news
+    }
+
+    fn put(&mut self, key: &str, value: &Value, version: u64) -> Option<News> {
+        match keys::parse(key)? {
+            Key::Leader => {
+                self.leader = from_value(value).map(|record| Versioned { version, record });
+                Some(News::Leader)
+            }
+            Key::Term => {
+                let record: keys::TermRecord = from_value(value)?;
+                self.term = Versioned {
+                    version,
+                    record: record.term,
+                };
+                None
+            }
+            Key::Settings => {
+                self.settings = Versioned {
+                    version,
+                    record: Some(value.clone()),
+                };
+                Some(News::Settings)
+            }
+            Key::Job(id) => {
+                let read: JobRecord = from_value(value)?;
+                // After a first reading in pages the watch repeats changes; older ones lose.
+                if self.jobs.get(&id).is_none_or(|old| old.version < version) {
+                    let record = (read.verdict, read.tasks);
+                    self.jobs.insert(id.clone(), Versioned { version, record });
+                }
+                Some(News::Job(id))
+            }
+            Key::Live(id) => {
+                let record: LiveRecord = from_value(value)?;
+                if self.live.get(&id).is_none_or(|old| old.version < version) {
+                    self.live.insert(id.clone(), Versioned { version, record });
+                }
+                Some(News::Job(id))
+            }
+            Key::Done(id, chunk) => {
+                let record: DoneRecord = from_value(value)?;
+                self.done.insert((id, chunk), record);
+                None
+            }
+            Key::Roster(shard) => {
+                let record: RosterRecord = from_value(value)?;
+                self.roster.insert(shard, record);
+                None
+            }
+        }
+    }
+
+    fn delete(&mut self, key: &str, version: u64) -> Option<News> {
+        match keys::parse(key)? {
+            Key::Leader => {
+                self.leader = None;
+                Some(News::Leader)
+            }
+            Key::Live(id) => {
+                if self.live.get(&id).is_some_and(|old| old.version < version) {
+                    self.live.remove(&id);
+                }
+                Some(News::Job(id))
+            }
+            Key::Done(id, chunk) => {
+                self.done.remove(&(id, chunk));
+                None
+            }
+            Key::Roster(shard) => {
+                self.roster.remove(&shard);
+                None
+            }
+            // Verdicts, the term and the settings are never deleted by us.
+            Key::Term | Key::Settings | Key::Job(_) => None,
+        }
+    }
+
+    /// The version of a job's verdict; 0: there is none.
+    pub fn job_version(&self, id: &JobId) -> u64 {
+        self.jobs.get(id).map_or(0, |job| job.version)
+    }
+
+    /// The completed tasks of a job, for taking over.
+    pub fn done_chunks<'a>(
+        &'a self,
+        id: &'a JobId,
+    ) -> impl Iterator<Item = (usize, &'a DoneRecord)> + 'a {
+        self.done
+            .range((id.clone(), 0)..=(id.clone(), usize::MAX))
+            .map(|((_, chunk), record)| (*chunk, record))
+    }
+}
