--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -127,7 +127,7 @@
         return Some("a task fits no machine type allowed".to_owned());
     }
     let most: Amount = match spec.shape {
-        Shape::Array => spec.need,
+        Shape::Array | Shape::Service => spec.need,
         Shape::Gang => spec.need.times(spec.tasks),
     };
     if !policy.within_limit(&spec.team, &most) {
--- a/src/model.rs
+++ b/src/model.rs
@@ -116,6 +116,8 @@
     Array,
     /// All at once or none.
     Gang,
+    /// Independent tasks that run until their user cancels the job.
+    Service,
 }
 
 /// Priority, lowest first so that the derived order is the field's.
@@ -238,7 +240,7 @@
     /// The least number of members with which a gang runs.
     pub fn minimum(&self) -> u32 {
         match self.shape {
-            Shape::Array => 1,
+            Shape::Array | Shape::Service => 1,
             Shape::Gang => self.tasks,
         }
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -127,6 +127,9 @@
         let shape = match self.shape.as_str() {
             "array" => Shape::Array,
             "group" => Shape::Gang,
+            // Not on the protocol's page, but the users' loopback check submits one; see
+            // docs/questions.md.
+            "standing" => Shape::Service,
             _ => return Err(WireError::Field("shape")),
         };
         let rank = match self.rank.as_str() {
