--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -1,6 +1,7 @@
 //! Owner of the round: takes all that happened since the last one, decides, writes down what
 //! has to be written, and sends stops straight away.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -67,7 +68,7 @@
             shortages: self.shortages.clone(),
             writes_rest_until: Shelf::default(),
         };
-        actix::spawn(Arc::new(rounds).run());
+        actix::spawn(Rc::new(rounds).run());
     }
 }
 
@@ -80,7 +81,7 @@
 }
 
 impl Rounds {
-    async fn run(self: Arc<Self>) {
+    async fn run(self: Rc<Self>) {
         loop {
             let began = Instant::now();
             let lead = self.shared.role.lock().leading(began);
@@ -95,7 +96,7 @@
         }
     }
 
-    fn round(self: &Arc<Self>, lead: &Lead, now: Instant) {
+    fn round(self: &Rc<Self>, lead: &Lead, now: Instant) {
         let (writes, direct, waits) = {
             let mut guard = self.shared.cluster.lock();
             let Some(cluster) = guard.as_mut().filter(|c| c.term == lead.term) else {
@@ -143,7 +144,7 @@
     }
 
     /// Writes what the picture waits for, on condition that we still lead.
-    async fn write(self: Arc<Self>, lead: Lead, mut write: RecordWrite) {
+    async fn write(self: Rc<Self>, lead: Lead, mut write: RecordWrite) {
         let condition = Condition::new(keys::LEADER, lead.version);
         write.group.when.push(condition);
         let sent = self.store.send(Commit(write.group)).await;
@@ -162,7 +163,7 @@
 
     /// Sends stops straight to a worker. Late or repeated they do no harm, since no attempt
     /// is ever used twice.
-    async fn command(self: Arc<Self>, machine: MachineId, address: String, body: DirectOrders) {
+    async fn command(self: Rc<Self>, machine: MachineId, address: String, body: DirectOrders) {
         debug_assert!(!body.orders.iter().any(|o| matches!(o, Order::Run { .. })));
         let sent = self
             .http
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -146,7 +146,7 @@
                     apply.extend(records_go(job));
                     Some((RecordKind::Finished(id.clone()), apply))
                 }
-                Verdict::Cancelled if !job.placed() && !(job.inherited && unsettled) => {
+                Verdict::Cancelled if !(job.placed() || job.inherited && unsettled) => {
                     Some((RecordKind::Retired(id.clone()), records_go(job)))
                 }
                 Verdict::Accepted if job.placed() && job.started == Durable::No => {
--- /dev/null
+++ b/tests/service.rs
@@ -0,0 +1,360 @@
+//! The real program against stand-ins on loopback.
+
+mod common;
+#[path = "common/standins.rs"]
+mod standins;
+
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use ciborium::{cbor, Value};
+use standins::{decode, encode, free_address, number, text, Cloud, State};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_knotlanding");
+/// Long enough for any machine; nothing here measures time.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A running program, ended with the test.
+struct Node {
+    child: Child,
+    public: String,
+    peer: String,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Bench {
+    state: State,
+    cloud: Cloud,
+    file: PathBuf,
+    public: String,
+    peer: String,
+}
+
+impl Bench {
+    fn new(name: &str) -> Self {
+        let (state, cloud) = (State::default(), Cloud::default());
+        let (public, peer) = (free_address(), free_address());
+        let state_address = state.start();
+        let cloud_address = cloud.start(vec![public.clone()]);
+        let text = common::settings_text("knot-0", &public, &peer, &state_address, &cloud_address);
+        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
+        std::fs::write(&file, text).unwrap();
+        Self {
+            state,
+            cloud,
+            file,
+            public,
+            peer,
+        }
+    }
+
+    fn start(&self) -> Node {
+        let child = Command::new(PROGRAM)
+            .arg("--config")
+            .arg(&self.file)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Node {
+            child,
+            public: self.public.clone(),
+            peer: self.peer.clone(),
+        }
+    }
+}
+
+fn job(id: &str, shape: &str, tasks: u64, cpus: f64) -> Value {
+    cbor!({
+        "nameId" => id, "lane" => "batch", "owner" => "blue", "shape" => shape,
+        "rank" => "standard", "strands" => tasks, "cores" => cpus, "cards" => 0.0,
+        "ramGb" => 4.0, "bundle" => "img", "sizeGb" => 1.0, "builds" => null, "yard" => null,
+        "oneZone" => false, "apart" => false, "loaners" => true, "expectS" => 5.0,
+        "markEveryS" => 0.0, "markCostS" => 0.0, "dueS" => null, "newField" => 1
+    })
+    .unwrap()
+}
+
+fn without(value: &Value, name: &str) -> Value {
+    let map = value.as_map().unwrap().iter();
+    Value::Map(
+        map.filter(|(k, _)| k.as_text() != Some(name))
+            .cloned()
+            .collect(),
+    )
+}
+
+fn with(value: &Value, name: &str, field: Value) -> Value {
+    let mut map = without(value, name).into_map().unwrap();
+    map.push((Value::Text(name.to_owned()), field));
+    Value::Map(map)
+}
+
+impl Node {
+    async fn post(&self, path: &str, body: Vec<u8>) -> (u16, Value, Option<String>) {
+        let http = awc::Client::builder()
+            .timeout(Duration::from_secs(5))
+            .finish();
+        let sent = http.post(format!("http://{}{path}", self.public));
+        let Ok(mut answer) = sent.send_body(body).await else {
+            return (0, Value::Null, None);
+        };
+        let retry = answer.headers().get("retry-after");
+        let retry = retry.and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let status = answer.status().as_u16();
+        let body = answer.body().await.map(|b| decode(&b));
+        (status, body.unwrap_or(Value::Null), retry)
+    }
+
+    async fn submit(&self, job: &Value) -> u16 {
+        self.post("/api/jobs", encode(job)).await.0
+    }
+
+    async fn poll(&self, id: &str) -> (u16, Value) {
+        let http = awc::Client::builder()
+            .timeout(Duration::from_secs(5))
+            .finish();
+        let url = format!("http://{}/api/jobs/{id}", self.public);
+        let Ok(mut answer) = http.get(url).send().await else {
+            return (0, Value::Null);
+        };
+        let body = answer.body().await.map(|b| decode(&b));
+        (answer.status().as_u16(), body.unwrap_or(Value::Null))
+    }
+
+    async fn until(&self, id: &str, status: &str) -> Value {
+        let began = Instant::now();
+        loop {
+            let (code, body) = self.poll(id).await;
+            if code == 200 && text(&body, "status") == status {
+                return body;
+            }
+            assert!(began.elapsed() < PATIENCE, "{id}: {code} {body:?}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Submits until accepted.
+    async fn accept(&self, job: &Value) {
+        let began = Instant::now();
+        while self.submit(job).await != 201 {
+            assert!(began.elapsed() < PATIENCE, "not accepted");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    async fn admin(&self, method: &str, path: &str, body: &str) -> (u16, serde_json::Value) {
+        let http = awc::Client::builder()
+            .timeout(Duration::from_secs(5))
+            .finish();
+        let url = format!("http://{}/admin/{path}", self.peer);
+        let method = awc::http::Method::from_bytes(method.as_bytes()).unwrap();
+        let sent = http.request(method, url).send_body(body.to_owned()).await;
+        let Ok(mut answer) = sent else {
+            return (0, serde_json::Value::Null);
+        };
+        let bytes = answer.body().await.unwrap_or_default();
+        let json = serde_json::from_slice(&bytes).unwrap_or_default();
+        (answer.status().as_u16(), json)
+    }
+}
+
+#[actix_web::test]
+async fn jobs_run_to_their_end_and_stay_done_through_a_crash() {
+    let bench = Bench::new("crash");
+    let node = bench.start();
+    node.accept(&job("wk-000001", "array", 5, 4.0)).await;
+    node.accept(&job("wk-000002", "group", 3, 15.0)).await;
+    let done = node.until("wk-000001", "done").await;
+    assert_eq!(number(&done, "done"), 5);
+    node.until("wk-000002", "done").await;
+    assert!(
+        bench.cloud.count() >= 3,
+        "a gang of three needs three machines"
+    );
+    drop(node);
+    let node = bench.start();
+    node.until("wk-000001", "done").await;
+    assert_eq!(node.submit(&job("wk-000001", "array", 5, 4.0)).await, 200);
+    node.accept(&job("wk-000003", "array", 1, 4.0)).await;
+    node.until("wk-000003", "done").await;
+    assert!(
+        bench.state.get("kl/live/wk-000003").is_none(),
+        "the job's records go with its end"
+    );
+    assert!(
+        bench.state.get("kl/job/wk-000003").is_some(),
+        "its verdict stays"
+    );
+}
+
+#[actix_web::test]
+async fn what_cannot_be_taken_is_refused_for_good_and_the_rest_for_now() {
+    let bench = Bench::new("refusals");
+    let node = bench.start();
+    let good = job("wk-000010", "array", 1, 4.0);
+    node.accept(&good).await;
+    let float = Value::Float;
+    let bad = [
+        Value::Text("not a map".to_owned()),
+        with(&good, "nameId", Value::Text("job 1".to_owned())),
+        with(&good, "shape", Value::Text("ring".to_owned())),
+        with(&good, "rank", Value::Null),
+        with(&good, "strands", Value::from(0)),
+        with(&good, "strands", Value::from(100_001)),
+        with(&good, "strands", float(1.5)),
+        with(&good, "cores", float(f64::NAN)),
+        with(&good, "ramGb", float(-1.0)),
+        with(&good, "expectS", float(f64::INFINITY)),
+        with(&good, "oneZone", Value::from(1)),
+        without(&good, "bundle"),
+        without(&good, "markCostS"),
+    ];
+    for body in bad {
+        assert_eq!(node.submit(&body).await, 400, "{body:?}");
+    }
+    for bytes in [&b"\xff\xff"[..], b"", b"\x9f\x9f\x9f"] {
+        assert_eq!(node.post("/api/jobs", bytes.to_vec()).await.0, 400);
+    }
+    let large = with(&good, "bundle", Value::Text("x".repeat(70_000)));
+    assert_eq!(node.submit(&large).await, 400);
+    let never = [
+        with(&good, "owner", Value::Text("nobody".to_owned())),
+        with(&good, "cores", float(17.0)),
+        with(&good, "builds", cbor!(["huge"]).unwrap()),
+        with(&good, "yard", Value::Text("east".to_owned())),
+    ];
+    for body in never {
+        let body = with(&body, "nameId", Value::Text("wk-000011".to_owned()));
+        assert_eq!(node.submit(&body).await, 422, "{body:?}");
+    }
+    assert_eq!(node.poll("wk-000011").await.0, 404);
+    assert_eq!(node.poll("rubbish").await.0, 404);
+    assert_eq!(
+        node.post("/api/jobs/wk-000011/abort", Vec::new()).await.0,
+        404
+    );
+    node.until("wk-000010", "done").await;
+
+    bench.state.set_out(true);
+    let next = job("wk-000012", "array", 1, 4.0);
+    let (status, _, retry) = node.post("/api/jobs", encode(&next)).await;
+    assert_eq!(status, 503);
+    assert!(retry.is_some(), "a refusal for now says when to come back");
+    let (status, body) = node.poll("wk-000010").await;
+    assert_eq!((status, text(&body, "status").as_str()), (200, "done"));
+    bench.state.set_out(false);
+    node.accept(&next).await;
+    node.until("wk-000012", "done").await;
+}
+
+#[actix_web::test]
+async fn a_cancelled_job_stays_cancelled_and_a_done_one_done() {
+    let bench = Bench::new("cancel");
+    let node = bench.start();
+    // More than the worker stand-ins can ever run at once: some of it always waits.
+    node.accept(&job("wk-000020", "array", 5000, 16.0)).await;
+    let (status, body, _) = node.post("/api/jobs/wk-000020/abort", Vec::new()).await;
+    assert_eq!((status, text(&body, "status").as_str()), (200, "cancelled"));
+    let (status, body, _) = node.post("/api/jobs/wk-000020/abort", Vec::new()).await;
+    assert_eq!((status, text(&body, "status").as_str()), (200, "cancelled"));
+    node.accept(&job("wk-000021", "array", 1, 4.0)).await;
+    node.until("wk-000021", "done").await;
+    let (status, body, _) = node.post("/api/jobs/wk-000021/abort", Vec::new()).await;
+    assert_eq!((status, text(&body, "status").as_str()), (200, "done"));
+    let (_, body) = node.poll("wk-000020").await;
+    assert_eq!(text(&body, "status"), "cancelled");
+}
+
+#[actix_web::test]
+async fn operators_settings_are_checked_versioned_and_outlive_the_process() {
+    let bench = Bench::new("admin");
+    let node = bench.start();
+    node.accept(&job("wk-000030", "array", 1, 4.0)).await;
+    let (status, got) = node.admin("GET", "settings", "").await;
+    assert_eq!((status, got["version"].as_u64()), (200, Some(0)));
+    let wrong = r#"{"version":0,"settings":{"idle_factor":-1}}"#;
+    let (status, said) = node.admin("PUT", "settings", wrong).await;
+    assert_eq!(status, 400);
+    assert!(said["error"].as_str().unwrap().contains("idle_factor"));
+    let unknown = r#"{"version":0,"settings":{"speed":1}}"#;
+    let (status, said) = node.admin("PUT", "settings", unknown).await;
+    assert_eq!(status, 400);
+    assert!(said["error"].as_str().unwrap().contains("speed"));
+    let right = r#"{"version":0,"settings":{"idle_factor":2.5}}"#;
+    assert_eq!(node.admin("PUT", "settings", right).await.0, 200);
+    assert_eq!(node.admin("PUT", "settings", right).await.0, 409);
+    drop(node);
+    let node = bench.start();
+    node.accept(&job("wk-000031", "array", 1, 4.0)).await;
+    let (_, got) = node.admin("GET", "settings", "").await;
+    assert_eq!(got["settings"]["idle_factor"].as_f64(), Some(2.5));
+    assert_eq!(
+        node.admin("POST", "machines/m-000777/drain", "").await.0,
+        200
+    );
+    let (_, status) = node.admin("GET", "status", "").await;
+    assert_eq!(status["member"], "knot-0");
+    node.until("wk-000031", "done").await;
+    let (_, metrics) = node.admin("GET", "metrics", "").await;
+    assert_eq!(metrics["accepted"].as_u64(), Some(1));
+    bench.state.set_out(true);
+    let again = got.to_string();
+    assert_eq!(node.admin("PUT", "settings", &again).await.0, 503);
+}
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(PROGRAM).args(arguments).output().unwrap()
+}
+
+#[test]
+fn wrong_settings_end_the_program_with_one_line_that_names_the_field() {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let good = common::settings_text(
+        "knot-0",
+        "127.0.0.1:1",
+        "127.0.0.1:2",
+        "127.0.0.1:3",
+        "127.0.0.1:4",
+    );
+    let cases = [
+        ("missing", good.replace("lease_s = 20.0", ""), "lease_s"),
+        (
+            "kind",
+            good.replace("count = 1", "count = \"one\""),
+            "count",
+        ),
+        (
+            "range",
+            good.replace("txn_ops = 12", "txn_ops = 0"),
+            "params.state.txn_ops",
+        ),
+        ("address", good.replace("127.0.0.1:3", "somewhere"), "state"),
+        ("rubbish", "=".to_owned(), "wrong"),
+    ];
+    for (name, content, names) in cases {
+        let file = folder.join(format!("wrong-{name}.toml"));
+        std::fs::write(&file, content).unwrap();
+        let file = file.to_str().unwrap();
+        for arguments in [&["--config", file][..], &["check", file][..]] {
+            let output = run(arguments);
+            let said = String::from_utf8_lossy(&output.stderr).into_owned();
+            assert_eq!(output.status.code(), Some(2), "{said}");
+            assert_eq!(said.lines().count(), 1, "{said}");
+            assert!(said.contains(names), "{said}");
+        }
+    }
+    let output = run(&["--config", "/nonexistent/file.toml"]);
+    assert_eq!(output.status.code(), Some(2));
+    let file = folder.join("right.toml");
+    std::fs::write(&file, good).unwrap();
+    assert!(run(&["check", file.to_str().unwrap()]).status.success());
+    assert!(run(&["--help"]).status.success());
+    assert!(run(&["--version"]).status.success());
+}
