--- a/src/sched/allocate.rs
+++ b/src/sched/allocate.rs
@@ -9,8 +9,8 @@
 
 /// What an unused part of a machine counts against it, in seconds of fetching.
 const PACKING_S: f64 = 6.0;
-/// What a machine's slowness or a busy line counts, in the same measure.
-const SHARED_LINE_S: f64 = 4.0;
+/// What the rest of another image's fetch counts: it delays ours, and ours delays it.
+const SHARED_LINE: f64 = 1.5;
 
 /// Free room on one machine.
 #[derive(Debug, Clone)]
@@ -64,7 +64,7 @@
 }
 
 /// Seconds until a task's image would be there.
-fn fetch_s(cluster: &Cluster, id: &MachineId, spec: &JobSpec, build: &Build) -> f64 {
+fn fetch_s(cluster: &Cluster, id: &MachineId, spec: &JobSpec, build: &Build, now: Instant) -> f64 {
     let Some(machine) = cluster.machines.get(id) else {
         return 0.0;
     };
@@ -73,22 +73,31 @@
     }
     let rate = build.fetch_rate.max(f64::MIN_POSITIVE);
     let whole = spec.image_gb / rate;
-    let mut cost = whole;
-    for slot in machine.slots.values().filter(|slot| slot.occupies()) {
-        let Some(other) = &slot.spec else { continue };
+    let mut own = whole;
+    // Images fetched at the same time share the line: each of them waits for the others.
+    let mut others: HashMap<&str, f64> = HashMap::new();
+    for slot in machine.slots.values() {
+        let coming = matches!(
+            slot.phase,
+            Phase::Planned | Phase::Sent { .. } | Phase::Pulling
+        );
+        let Some(other) = slot.spec.as_ref().filter(|_| coming) else {
+            continue;
+        };
+        let passed = now.saturating_duration_since(slot.since).as_secs_f64();
+        let left = (other.image_gb / rate - passed).max(0.0);
         if other.image == spec.image {
-            // One fetch serves all tasks that wait for it.
-            let under_way = matches!(slot.phase, Phase::Pulling);
-            cost = cost.min(if under_way { whole / 2.0 } else { whole });
-        } else if slot.phase == Phase::Pulling {
-            cost += SHARED_LINE_S;
+            own = own.min(left);
+        } else if !machine.has_image(&other.image) {
+            let known = others.entry(&other.image).or_insert(left);
+            *known = known.min(left);
         }
     }
-    cost
+    own + others.values().sum::<f64>() * SHARED_LINE
 }
 
 /// Lower is better.
-fn score(cluster: &Cluster, id: &MachineId, room: &Room, spec: &JobSpec) -> f64 {
+fn score(cluster: &Cluster, id: &MachineId, room: &Room, spec: &JobSpec, now: Instant) -> f64 {
     let Some(build) = build_named(cluster.catalog(), &room.build) else {
         return f64::INFINITY;
     };
@@ -105,7 +114,7 @@
     } else {
         left(room.free.cpus, spec.need.cpus, build.room.cpus)
     };
-    fetch_s(cluster, id, spec, build) + waste * PACKING_S
+    fetch_s(cluster, id, spec, build, now) + waste * PACKING_S
 }
 
 fn fits(cluster: &Cluster, job: &Job, id: &MachineId, room: &Room) -> bool {
@@ -122,6 +131,7 @@
     tasks: &[u32],
     zone: Option<&str>,
     rooms: &mut Rooms,
+    now: Instant,
 ) -> (Vec<(u32, MachineId)>, f64) {
     let spec = &job.spec;
     let mut in_zone: HashMap<String, u32> = zones_of(cluster, job)
@@ -133,7 +143,7 @@
         .iter()
         .filter(|(_, room)| zone.is_none_or(|zone| zone == room.zone))
         .filter(|(id, room)| fits(cluster, job, id, room))
-        .map(|(id, room)| (score(cluster, id, room, spec), id.clone()))
+        .map(|(id, room)| (score(cluster, id, room, spec, now), id.clone()))
         .collect();
     let mut members = Vec::new();
     let mut total = 0.0;
@@ -154,7 +164,7 @@
         total += cost;
         members.push((*index, id.clone()));
         if spec.need.fits(&room.free) {
-            candidates[best].0 = score(cluster, &id, room, spec);
+            candidates[best].0 = score(cluster, &id, room, spec, now);
         } else {
             candidates.remove(best);
         }
@@ -181,22 +191,40 @@
 }
 
 /// Room for all of a gang's missing members, or what there is of it.
-pub fn gang(cluster: &Cluster, job: &Job, missing: &[u32], rooms: &mut Rooms) -> Found {
-    best_zone(cluster, job, missing, rooms)
+pub fn gang(
+    cluster: &Cluster,
+    job: &Job,
+    missing: &[u32],
+    rooms: &mut Rooms,
+    now: Instant,
+) -> Found {
+    best_zone(cluster, job, missing, rooms, now)
 }
 
 /// Room for as many of an array's tasks as fit.
-pub fn array(cluster: &Cluster, job: &Job, missing: &[u32], rooms: &mut Rooms) -> Found {
-    best_zone(cluster, job, missing, rooms)
+pub fn array(
+    cluster: &Cluster,
+    job: &Job,
+    missing: &[u32],
+    rooms: &mut Rooms,
+    now: Instant,
+) -> Found {
+    best_zone(cluster, job, missing, rooms, now)
 }
 
-fn best_zone(cluster: &Cluster, job: &Job, missing: &[u32], rooms: &mut Rooms) -> Found {
+fn best_zone(
+    cluster: &Cluster,
+    job: &Job,
+    missing: &[u32],
+    rooms: &mut Rooms,
+    now: Instant,
+) -> Found {
     let zones = zones_to_try(cluster, job, rooms);
     let settled = job.spec.one_zone && job.placed();
     let mut best: Option<(usize, f64, Found, Rooms)> = None;
     for zone in zones {
         let mut left = rooms.clone();
-        let (members, cost) = fill(cluster, job, missing, zone.as_deref(), &mut left);
+        let (members, cost) = fill(cluster, job, missing, zone.as_deref(), &mut left, now);
         let better = best.as_ref().is_none_or(|(count, least, _, _)| {
             members.len() > *count || (members.len() == *count && cost < *least)
         });
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -192,7 +192,7 @@
         if job.gang() {
             step_gang(cluster, policy, entry, sum, &mut rooms, &mut decisions, now);
         } else {
-            step_array(cluster, policy, entry, sum, &mut rooms, &mut decisions);
+            step_array(cluster, policy, entry, sum, &mut rooms, &mut decisions, now);
         }
         let short = decisions.short.last().filter(|s| s.spec.id == *id);
         if let Some(short) = short {
@@ -241,7 +241,7 @@
         return;
     }
     let before = rooms.clone();
-    let found = allocate::gang(cluster, job, &missing, rooms);
+    let found = allocate::gang(cluster, job, &missing, rooms, now);
     // Ready when the allocated members reach the minimum, or with those that succeeded.
     if found.members.len() as u32 + placed + job.done.len() >= job.spec.minimum() {
         *used = wanted;
@@ -276,6 +276,7 @@
     used: &mut Amount,
     rooms: &mut Rooms,
     decisions: &mut Decisions,
+    now: Instant,
 ) {
     let job = entry.job;
     let id = &job.spec.id;
@@ -296,7 +297,7 @@
         decisions.waits.push((id.clone(), "its team's limit"));
         return;
     }
-    let found = allocate::array(cluster, job, &missing[..allowed], rooms);
+    let found = allocate::array(cluster, job, &missing[..allowed], rooms, now);
     let placed = found.members.len();
     used.add(&job.spec.need.times(placed as u32));
     for member in found.members {
