Order: what can still meet an aim first, small jobs before large ones

Cause: at Indus cards are short for the first minutes and jobs past their first aim held the queue. Ruled out: the team's guarantee, which orders nothing while one team asks alone. A job older than ten minutes still goes first.

--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -25,8 +25,8 @@
 pub struct Policy {
     /// Teams by name.
     pub teams: HashMap<String, TeamSettings>,
-    /// The shortest time any aim allows a class.
-    pub aims: HashMap<String, Duration>,
+    /// The times that aims allow a class, shortest first.
+    pub aims: HashMap<String, Vec<Duration>>,
     /// Classes that are to start soon, with the time allowed.
     pub prompt: HashMap<String, Duration>,
     /// Zones of the deployment.
@@ -36,19 +36,20 @@
 impl Policy {
     /// From the settings.
     pub fn new(settings: &Settings) -> Self {
-        let mut aims: HashMap<String, Duration> = HashMap::new();
+        let mut aims: HashMap<String, Vec<Duration>> = HashMap::new();
         let mut prompt: HashMap<String, Duration> = HashMap::new();
         for objective in &settings.params.objectives {
             let Some(within) = objective.within_s.map(crate::config::secs) else {
                 continue;
             };
-            let keep_least = |map: &mut HashMap<String, Duration>| {
-                let entry = map.entry(objective.class.clone()).or_insert(within);
-                *entry = within.min(*entry);
-            };
-            keep_least(&mut aims);
+            let class = objective.class.clone();
             if objective.kind == "wait" {
-                keep_least(&mut prompt);
+                let entry = prompt.entry(class).or_insert(within);
+                *entry = within.min(*entry);
+            } else {
+                let times = aims.entry(class).or_default();
+                times.push(within);
+                times.sort();
             }
         }
         let teams = settings.params.teams.iter();
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -10,9 +10,8 @@
 
 /// A job that waited this long goes first within its priority, whatever else: nothing starves.
 const OLD: Duration = Duration::from_secs(600);
-/// A job this many times its allowed time late has lost most of its worth; jobs that can
-/// still be in time go first.
-const LOST_AFTER: f64 = 1.5;
+/// A deadline missed by up to this part of the time allowed still counts for something.
+const GRACE_PART: f64 = 1.5;
 
 /// A job with its place in the order.
 #[derive(Debug)]
@@ -21,16 +20,36 @@
     pub job: &'a Job,
     /// Whether it is within its team's guarantee.
     pub guaranteed: bool,
-    /// When it should be over.
+    /// When it should be over, as far as that can still be.
     pub target: Instant,
+    /// Targets it can't meet any more.
+    pub missed: usize,
 }
 
-/// When a job should be over: its deadline, else the shortest time its class's aims allow.
-pub fn target(job: &Job, policy: &Policy) -> Instant {
-    let due = job.due();
-    let aim = policy.aims.get(&job.spec.class).copied();
-    let fallback = aim.unwrap_or_else(|| job.spec.estimate());
-    due.unwrap_or(job.submitted + fallback)
+/// The times by which a job should be over, first things first: its deadline, else what the
+/// aims allow its class.
+fn targets(job: &Job, policy: &Policy) -> Vec<Instant> {
+    if let Some(due) = job.spec.due_s.map(crate::config::secs) {
+        return vec![job.submitted + due, job.submitted + due.mul_f64(GRACE_PART)];
+    }
+    let aims = policy.aims.get(&job.spec.class);
+    let prompt = policy.prompt.get(&job.spec.class);
+    let times = aims.into_iter().flatten().chain(prompt);
+    let mut times: Vec<Instant> = times.map(|time| job.submitted + *time).collect();
+    if times.is_empty() {
+        times.push(job.submitted + job.spec.estimate());
+    }
+    times.sort();
+    times
+}
+
+/// The first target that the job can still meet, with the number of those it can't.
+fn reachable(job: &Job, policy: &Policy, now: Instant) -> (usize, Instant) {
+    let targets = targets(job, policy);
+    let at_best = now + job.spec.estimate();
+    let missed = targets.iter().filter(|target| **target < at_best).count();
+    let target = targets.get(missed).or(targets.last()).copied();
+    (missed, target.unwrap_or(at_best))
 }
 
 /// Open jobs with unplaced tasks, or places to be looked after, first things first.
@@ -43,28 +62,31 @@
         let sum = sums.entry(job.spec.team.as_str()).or_default();
         let unfinished = job.spec.tasks - job.done.len();
         sum.add(&job.spec.need.times(unfinished));
+        let (missed, target) = reachable(job, policy, now);
         entries.push(Entry {
             job,
             guaranteed: policy.within_guarantee(&job.spec.team, sum),
-            target: target(job, policy),
+            target,
+            missed,
         });
     }
-    entries.sort_by_key(|entry| key(entry, now));
+    // A guarantee is a claim against other teams; alone, a team's jobs go by their targets.
+    let contested = sums.len() > 1;
+    entries.sort_by_key(|entry| key(entry, contested, now));
     entries
 }
 
-type Key = (Reverse<Rank>, bool, bool, bool, Instant);
+type Key = (Reverse<Rank>, bool, bool, usize, Duration, Instant);
 
-fn key(entry: &Entry, now: Instant) -> Key {
+fn key(entry: &Entry, contested: bool, now: Instant) -> Key {
     let job = entry.job;
     let age = now.saturating_duration_since(job.submitted);
-    let allowed = entry.target.saturating_duration_since(job.submitted);
-    let lost = age > allowed.mul_f64(LOST_AFTER);
     (
         Reverse(job.spec.rank),
-        !entry.guaranteed,
+        contested && !entry.guaranteed,
         age < OLD,
-        lost,
+        entry.missed,
+        job.spec.estimate() * job.pending_count(),
         entry.target,
     )
 }
