A task waits for a place with its image where that is sooner than a fetch

Cause: at Indus a fetch takes 40 to 70 s on a machine that has not the image, longer than most tasks run; tasks went to such machines while places with the image came free every few seconds.

--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -167,6 +167,7 @@
             return;
         }
         self.dirty = true;
+        debug!(machine = %id, task = %slot.task, ?phase, "task");
         match phase {
             Phase::Exited(cause) => {
                 self.exited(id, slot, cause, first_seen || before != phase, now)
@@ -224,7 +225,6 @@
             return;
         }
         let job_id = &slot.task.job;
-        debug!(machine = %id, task = %slot.task, ?cause, "exited");
         match cause {
             Cause::Done => {
                 if let Some(job) = self.jobs.get_mut(job_id) {
--- a/src/sched/allocate.rs
+++ b/src/sched/allocate.rs
@@ -54,6 +54,58 @@
     }
 }
 
+/// Fetches shorter than this are never waited around.
+const LONG_FETCH_S: f64 = 10.0;
+/// A task that outlived its estimate is expected to go on for at least this long.
+const LEAST_REST_S: f64 = 3.0;
+/// Time from a task's end to the start of another in its place: two reports.
+const TURNOVER_S: f64 = 3.0;
+
+/// Places expected to come free, soonest first. A task whose image would take longer to fetch
+/// than such a place takes to come free, on a machine that has the image, waits for it.
+#[derive(Debug, Clone)]
+pub struct Departures(Vec<(f64, MachineId)>);
+
+impl Departures {
+    /// From what runs, by the owners' estimates.
+    pub fn of(cluster: &Cluster, rooms: &Rooms, now: Instant) -> Self {
+        let mut all = Vec::new();
+        for id in rooms.0.keys() {
+            let Some(machine) = cluster.machines.get(id) else {
+                continue;
+            };
+            for slot in machine.slots.values() {
+                let (Some(spec), Some(since)) = (&slot.spec, slot.running_since) else {
+                    continue;
+                };
+                if slot.occupies() && spec.estimate_s > 0.0 {
+                    let ran = now.saturating_duration_since(since).as_secs_f64();
+                    let rest = (spec.estimate_s - ran).max(LEAST_REST_S) + TURNOVER_S;
+                    all.push((rest, id.clone()));
+                }
+            }
+        }
+        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        Self(all)
+    }
+
+    /// Takes the first place on a machine with the image that comes free within `limit`.
+    fn claim(&mut self, cluster: &Cluster, spec: &JobSpec, limit: f64) -> bool {
+        let found = self.0.iter().position(|(_, id)| {
+            let machine = cluster.machines.get(id);
+            machine
+                .is_some_and(|m| spec.allows(&m.build, &m.zone, m.spot) && m.has_image(&spec.image))
+        });
+        match found.filter(|at| self.0[*at].0 < limit) {
+            Some(at) => {
+                self.0.remove(at);
+                true
+            }
+            None => false,
+        }
+    }
+}
+
 /// What allocation found.
 #[derive(Debug, Default)]
 pub struct Found {
@@ -61,6 +113,8 @@
     pub members: Vec<(u32, MachineId)>,
     /// The zone the rest is bound to.
     pub zone: Option<String>,
+    /// Tasks that do better to wait for a place that comes free.
+    pub deferred: u32,
 }
 
 /// Seconds until a task's image would be there.
@@ -131,8 +185,9 @@
     tasks: &[u32],
     zone: Option<&str>,
     rooms: &mut Rooms,
+    mut departures: Option<&mut Departures>,
     now: Instant,
-) -> (Vec<(u32, MachineId)>, f64) {
+) -> (Vec<(u32, MachineId)>, f64, u32) {
     let spec = &job.spec;
     let mut in_zone: HashMap<String, u32> = zones_of(cluster, job)
         .into_iter()
@@ -147,6 +202,7 @@
         .collect();
     let mut members = Vec::new();
     let mut total = 0.0;
+    let mut deferred = 0;
     for index in tasks {
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let best = candidates.iter().position(|(_, id)| {
@@ -156,6 +212,15 @@
         });
         let Some(best) = best else { break };
         let (cost, id) = candidates[best].clone();
+        if let Some(departures) = &mut departures {
+            let build = rooms.0.get(&id).map(|room| room.build.as_str());
+            let build = build.and_then(|name| build_named(cluster.catalog(), name));
+            let fetch = build.map_or(0.0, |build| fetch_s(cluster, &id, spec, build, now));
+            if fetch > LONG_FETCH_S && departures.claim(cluster, spec, fetch) {
+                deferred += 1;
+                continue;
+            }
+        }
         let Some(room) = rooms.0.get_mut(&id) else {
             break;
         };
@@ -169,7 +234,7 @@
             candidates.remove(best);
         }
     }
-    (members, total)
+    (members, total, deferred)
 }
 
 /// The zones to be tried one by one: one settled, or each, for a job bound to one zone.
@@ -198,7 +263,7 @@
     rooms: &mut Rooms,
     now: Instant,
 ) -> Found {
-    best_zone(cluster, job, missing, rooms, now)
+    best_zone(cluster, job, missing, rooms, None, now)
 }
 
 /// Room for as many of an array's tasks as fit.
@@ -207,9 +272,10 @@
     job: &Job,
     missing: &[u32],
     rooms: &mut Rooms,
+    departures: &mut Departures,
     now: Instant,
 ) -> Found {
-    best_zone(cluster, job, missing, rooms, now)
+    best_zone(cluster, job, missing, rooms, Some(departures), now)
 }
 
 fn best_zone(
@@ -217,30 +283,43 @@
     job: &Job,
     missing: &[u32],
     rooms: &mut Rooms,
+    departures: Option<&mut Departures>,
     now: Instant,
 ) -> Found {
     let zones = zones_to_try(cluster, job, rooms);
     let settled = job.spec.one_zone && job.placed();
-    let mut best: Option<(usize, f64, Found, Rooms)> = None;
+    let mut best: Option<(f64, Found, Rooms, Option<Departures>)> = None;
     for zone in zones {
         let mut left = rooms.clone();
-        let (members, cost) = fill(cluster, job, missing, zone.as_deref(), &mut left, now);
-        let better = best.as_ref().is_none_or(|(count, least, _, _)| {
-            members.len() > *count || (members.len() == *count && cost < *least)
+        let mut places = departures.as_deref().cloned();
+        let (members, cost, deferred) = fill(
+            cluster,
+            job,
+            missing,
+            zone.as_deref(),
+            &mut left,
+            places.as_mut(),
+            now,
+        );
+        let better = best.as_ref().is_none_or(|(least, found, _, _)| {
+            let most = found.members.len();
+            members.len() > most || (members.len() == most && cost < *least)
         });
         if better {
             let found = Found {
                 zone: zone.filter(|_| settled),
                 members,
+                deferred,
             };
-            best = Some((found.members.len(), cost, found, left));
+            best = Some((cost, found, left, places));
         }
     }
-    match best {
-        Some((_, _, found, left)) => {
-            *rooms = left;
-            found
-        }
-        None => Found::default(),
+    let Some((_, found, left, places)) = best else {
+        return Found::default();
+    };
+    *rooms = left;
+    if let (Some(departures), Some(places)) = (departures, places) {
+        *departures = places;
     }
+    found
 }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -12,7 +12,7 @@
 use crate::cluster::{Cluster, Job};
 use crate::config::{Settings, TeamSettings};
 use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId};
-use allocate::Rooms;
+use allocate::{Departures, Rooms};
 
 /// Tasks of one job started in one round; a larger array goes on in the next one.
 const MOST_STARTS_A_JOB: usize = 256;
@@ -169,6 +169,7 @@
         .into_iter()
         .map(|(team, sum)| (team.to_owned(), sum))
         .collect();
+    let mut departures = Departures::of(cluster, &rooms, now);
     let ordered = order::order(cluster, policy, now);
     let mut wanting = Vec::new();
     for entry in &ordered {
@@ -193,7 +194,16 @@
         if job.gang() {
             step_gang(cluster, policy, entry, sum, &mut rooms, &mut decisions, now);
         } else {
-            step_array(cluster, policy, entry, sum, &mut rooms, &mut decisions, now);
+            step_array(
+                cluster,
+                policy,
+                entry,
+                sum,
+                &mut rooms,
+                &mut departures,
+                &mut decisions,
+                now,
+            );
         }
         let short = decisions.short.last().filter(|s| s.spec.id == *id);
         if let Some(short) = short {
@@ -270,12 +280,14 @@
 }
 
 /// An array: every task is a gang of one.
+#[allow(clippy::too_many_arguments)]
 fn step_array(
     cluster: &Cluster,
     policy: &Policy,
     entry: &order::Entry,
     used: &mut Amount,
     rooms: &mut Rooms,
+    departures: &mut Departures,
     decisions: &mut Decisions,
     now: Instant,
 ) {
@@ -298,7 +310,7 @@
         decisions.waits.push((id.clone(), "its team's limit"));
         return;
     }
-    let found = allocate::array(cluster, job, &missing[..allowed], rooms, now);
+    let found = allocate::array(cluster, job, &missing[..allowed], rooms, departures, now);
     let placed = found.members.len();
     used.add(&job.spec.need.times(placed as u32));
     for member in found.members {
@@ -308,11 +320,16 @@
             members: vec![member],
         });
     }
-    if placed < allowed {
+    let waiting = (allowed - placed) as u32;
+    if waiting > 0 && found.deferred >= waiting {
+        decisions
+            .waits
+            .push((id.clone(), "a place with its image to come free"));
+    } else if waiting > 0 {
         decisions.waits.push((id.clone(), "room"));
         decisions.short.push(Short {
             spec: job.spec.clone(),
-            tasks: (allowed - placed) as u32,
+            tasks: waiting - found.deferred,
             submitted: job.submitted,
             target: entry.target,
             zone: found.zone,
