--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::cluster::{build_named, Cluster, Drain, Listed, Machine};
 use crate::model::{Amount, Build, JobSpec, MachineId};
-use crate::sched::allocate::Rooms;
+use crate::sched::allocate::{Departures, Rooms};
 use crate::sched::{Policy, Short};
 
 /// Most machines in one rental request, by the cloud's protocol.
@@ -95,6 +95,8 @@
     machine: Option<MachineId>,
     offer: Offer,
     free: Amount,
+    /// A task is on it still.
+    later: bool,
 }
 
 /// What to rent and return now.
@@ -115,10 +117,19 @@
     }
 
     let mut bays = bays(cluster, &leaving, now);
+    // Who has to start soon is not made to wait for others to finish.
+    let (prompt, patient): (Vec<&Short>, Vec<&Short>) = short
+        .iter()
+        .partition(|want| policy.prompt.contains_key(&want.spec.class));
     let mut rents: BTreeMap<Offer, u32> = BTreeMap::new();
-    for want in short {
+    for want in prompt {
         place_want(cluster, want, &mut bays, &mut rents, market, now);
     }
+    bays.extend(departing(cluster, &leaving, now));
+    for want in patient {
+        place_want(cluster, want, &mut bays, &mut rents, market, now);
+    }
+    bays.retain(|bay| !bay.later);
     let kept = keep_spare(cluster, policy, &mut bays, &mut rents, market, thrift, now);
     for (id, why) in idle_machines(cluster, &kept, &leaving, thrift, now) {
         by_reason.entry(why).or_default().push(id);
@@ -199,6 +210,7 @@
                 spot: room.spot,
             },
             free: room.free,
+            later: false,
         })
         .collect();
     for machine in cluster.machines.values() {
@@ -219,6 +231,37 @@
                     spot: machine.spot,
                 },
                 free: build.room,
+                later: false,
+            });
+        }
+    }
+    bays
+}
+
+/// Room that running tasks will leave, by their owners' estimates, before a machine rented
+/// now would be up: whoever waits gets it sooner than a new machine.
+fn departing(cluster: &Cluster, leaving: &BTreeSet<MachineId>, now: Instant) -> Vec<Bay> {
+    let rooms = Rooms::of(cluster, now);
+    let departures = Departures::of(cluster, &rooms, now);
+    let mut bays = Vec::new();
+    for place in departures.places() {
+        let room = rooms.0.get(&place.machine);
+        let Some(room) = room.filter(|_| !leaving.contains(&place.machine)) else {
+            continue;
+        };
+        let boot = build_named(cluster.catalog(), &room.build).map(|build| build.boot);
+        if boot.is_some_and(|boot| place.rest_s < boot.as_secs_f64()) {
+            let mut free = room.free;
+            free.add(&place.amount);
+            bays.push(Bay {
+                machine: None,
+                offer: Offer {
+                    build: room.build.clone(),
+                    zone: room.zone.clone(),
+                    spot: room.spot,
+                },
+                free,
+                later: true,
             });
         }
     }
@@ -375,6 +418,7 @@
         machine: None,
         offer: offer.clone(),
         free,
+        later: false,
     });
     true
 }
--- a/src/sched/allocate.rs
+++ b/src/sched/allocate.rs
@@ -64,7 +64,18 @@
 /// Places expected to come free, soonest first. A task whose image would take longer to fetch
 /// than such a place takes to come free, on a machine that has the image, waits for it.
 #[derive(Debug, Clone)]
-pub struct Departures(Vec<(f64, MachineId)>);
+pub struct Departures(Vec<Departure>);
+
+/// A place that a running task is expected to leave.
+#[derive(Debug, Clone)]
+pub struct Departure {
+    /// In so many seconds.
+    pub rest_s: f64,
+    /// Where.
+    pub machine: MachineId,
+    /// What it takes now.
+    pub amount: Amount,
+}
 
 impl Departures {
     /// From what runs, by the owners' estimates.
@@ -81,22 +92,31 @@
                 if slot.occupies() && spec.estimate_s > 0.0 {
                     let ran = now.saturating_duration_since(since).as_secs_f64();
                     let rest = (spec.estimate_s - ran).max(LEAST_REST_S) + TURNOVER_S;
-                    all.push((rest, id.clone()));
+                    all.push(Departure {
+                        rest_s: rest,
+                        machine: id.clone(),
+                        amount: spec.need,
+                    });
                 }
             }
         }
-        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        all.sort_by(|a: &Departure, b| a.rest_s.total_cmp(&b.rest_s));
         Self(all)
     }
 
+    /// All places, soonest first.
+    pub fn places(&self) -> &[Departure] {
+        &self.0
+    }
+
     /// Takes the first place on a machine with the image that comes free within `limit`.
     fn claim(&mut self, cluster: &Cluster, spec: &JobSpec, limit: f64) -> bool {
-        let found = self.0.iter().position(|(_, id)| {
-            let machine = cluster.machines.get(id);
+        let found = self.0.iter().position(|place| {
+            let machine = cluster.machines.get(&place.machine);
             machine
                 .is_some_and(|m| spec.allows(&m.build, &m.zone, m.spot) && m.has_image(&spec.image))
         });
-        match found.filter(|at| self.0[*at].0 < limit) {
+        match found.filter(|at| self.0[*at].rest_s < limit) {
             Some(at) => {
                 self.0.remove(at);
                 true
