--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,6 +23,8 @@
 const UNHEARD: Duration = Duration::from_secs(30);
 /// How long a type, zone and kind that had nothing to give is not asked again.
 const NO_CAPACITY_PAUSE: Duration = Duration::from_secs(15);
+/// How long a refusal counts against the hope to get such a machine again.
+const REFUSAL_REMEMBERED: Duration = Duration::from_secs(120);
 /// Part of the fleet that must be heard from before silence of the rest is believed: when
 /// nobody is heard, it is more likely us.
 const HEARD_PART: f64 = 0.5;
@@ -56,6 +58,7 @@
 #[derive(Debug, Default)]
 pub struct Market {
     empty_until: HashMap<Offer, Instant>,
+    refused: HashMap<Offer, Instant>,
 }
 
 impl Market {
@@ -63,6 +66,13 @@
     pub fn exhausted(&mut self, offer: &Offer, now: Instant) {
         let until = now + NO_CAPACITY_PAUSE;
         self.empty_until.insert(offer.clone(), until);
+        self.refused.insert(offer.clone(), now);
+    }
+
+    /// Whether it had something the last time, as far as is remembered.
+    fn likely(&self, offer: &Offer, now: Instant) -> bool {
+        let at = self.refused.get(offer);
+        at.is_none_or(|at| now.saturating_duration_since(*at) > REFUSAL_REMEMBERED)
     }
 
     fn asks(&self, offer: &Offer, now: Instant) -> bool {
@@ -131,7 +141,7 @@
     }
     bays.retain(|bay| !bay.later);
     let kept = keep_spare(cluster, policy, &mut bays, &mut rents, market, thrift, now);
-    for (id, why) in idle_machines(cluster, &kept, &leaving, thrift, now) {
+    for (id, why) in idle_machines(cluster, &kept, &leaving, market, thrift, now) {
         by_reason.entry(why).or_default().push(id);
     }
     for (offer, count) in rents {
@@ -482,6 +492,7 @@
     cluster: &Cluster,
     kept: &HashSet<MachineId>,
     leaving: &BTreeSet<MachineId>,
+    market: &Market,
     thrift: Thrift,
     now: Instant,
 ) -> Vec<(MachineId, &'static str)> {
@@ -497,13 +508,34 @@
             continue;
         };
         let since = now.saturating_duration_since(machine.idle_since);
-        if since > worth_keeping(machine, build).mul_f64(thrift.idle_factor) {
+        let again = cheapest_again(build, machine, market, now);
+        let part = (again / build.price_of(machine.spot)).clamp(0.0, 1.0);
+        let worth = worth_keeping(machine, build).mul_f64(part);
+        if since > worth.mul_f64(thrift.idle_factor) {
             idle.push((machine.id.clone(), "it is idle"));
         }
     }
     idle
 }
 
+/// The price at which such a machine could likely be had again. An ordinary machine is not
+/// worth keeping as long where a spot one would take its place.
+fn cheapest_again(build: &Build, machine: &Machine, market: &Market, now: Instant) -> f64 {
+    let own = build.price_of(machine.spot);
+    let zones = build.zones.iter();
+    let spot = zones.map(|zone| Offer {
+        build: build.name.clone(),
+        zone: zone.clone(),
+        spot: true,
+    });
+    let mut spot = spot.filter(|offer| market.likely(offer, now));
+    if spot.next().is_some() {
+        own.min(build.spot_price)
+    } else {
+        own
+    }
+}
+
 /// How long a machine is worth keeping idle: the time a new one needs to boot and to fetch
 /// the images that this one has. Whoever waits at most that long never pays more than twice
 /// what knowing the future would have cost.
