--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -29,7 +29,7 @@
 /// nobody is heard, it is more likely us.
 const HEARD_PART: f64 = 0.5;
 /// Standard deviations above the mean of what may arrive while a machine boots.
-const SPARE_DEVIATIONS: f64 = 1.0;
+const SPARE_DEVIATIONS: f64 = 3.0;
 /// Shortest time over which arrivals are averaged, so that the first ones don't count for a
 /// flood.
 const ARRIVAL_WINDOW: Duration = Duration::from_secs(90);
