--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -30,6 +30,9 @@
 const HEARD_PART: f64 = 0.5;
 /// Standard deviations above the mean of what may arrive while a machine boots.
 const SPARE_DEVIATIONS: f64 = 3.0;
+/// How much longer a machine is kept idle that serves a class which has to start promptly: it
+/// has the images, and nobody waits for a boot.
+const PROMPT_KEEP: f64 = 3.0;
 /// Shortest time over which arrivals are averaged, so that the first ones don't count for a
 /// flood.
 const ARRIVAL_WINDOW: Duration = Duration::from_secs(90);
@@ -141,7 +144,7 @@
     }
     bays.retain(|bay| !bay.later);
     let kept = keep_spare(cluster, policy, &mut bays, &mut rents, market, thrift, now);
-    for (id, why) in idle_machines(cluster, &kept, &leaving, market, thrift, now) {
+    for (id, why) in idle_machines(cluster, &kept, &leaving, policy, market, thrift, now) {
         by_reason.entry(why).or_default().push(id);
     }
     for (offer, count) in rents {
@@ -492,6 +495,7 @@
     cluster: &Cluster,
     kept: &HashSet<MachineId>,
     leaving: &BTreeSet<MachineId>,
+    policy: &Policy,
     market: &Market,
     thrift: Thrift,
     now: Instant,
@@ -511,6 +515,8 @@
         let again = cheapest_again(build, machine, market, now);
         let part = (again / build.price_of(machine.spot)).clamp(0.0, 1.0);
         let worth = worth_keeping(machine, build).mul_f64(part);
+        let prompt = serves_prompt(cluster, policy, machine, build);
+        let worth = worth.mul_f64(if prompt { PROMPT_KEEP } else { 1.0 });
         if since > worth.mul_f64(thrift.idle_factor) {
             idle.push((machine.id.clone(), "it is idle"));
         }
@@ -518,6 +524,15 @@
     idle
 }
 
+/// Whether a class that starts promptly has lately asked for such a machine.
+fn serves_prompt(cluster: &Cluster, policy: &Policy, machine: &Machine, build: &Build) -> bool {
+    cluster.arrivals.iter().any(|(_, spec)| {
+        policy.prompt.contains_key(&spec.class)
+            && spec.allows(&machine.build, &machine.zone, machine.spot)
+            && spec.need.fits(&build.room)
+    })
+}
+
 /// The price at which such a machine could likely be had again. An ordinary machine is not
 /// worth keeping as long where a spot one would take its place.
 fn cheapest_again(build: &Build, machine: &Machine, market: &Market, now: Instant) -> f64 {
