--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -7,11 +7,12 @@
 use tracing::{debug, info, warn};
 
 use super::round::Shortages;
-use crate::cluster::Catalog;
+use crate::cluster::{Catalog, Machine};
 use crate::fleet::client::{CloudClient, CloudError};
 use crate::fleet::{self, Action, Market, Offer};
 use crate::model::{MachineId, Term};
 use crate::service::Shared;
+use crate::store::limiter::Bucket;
 use crate::wire::HireBody;
 
 /// Time between two looks at the fleet.
@@ -20,7 +21,8 @@
 const CATALOG_EVERY: Duration = Duration::from_secs(60);
 /// Part of the cloud's request limit that the leader uses.
 const RATE_PART: f64 = 0.7;
-/// After taking over, demand is not judged before the machines have had time to report.
+/// After taking over, demand is not judged before all machines that are up have reported, or
+/// for this long.
 const SETTLE: Duration = Duration::from_secs(5);
 
 /// The actor.
@@ -45,6 +47,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, _: &mut Self::Context) {
+        let rps = self.shared.settings.params.cloud.rps;
         let fleet = Fleet {
             shared: self.shared.clone(),
             cloud: self.cloud.clone(),
@@ -56,6 +59,7 @@
             term: Term(0),
             catalog_at: None,
             listed_at: None,
+            calls: Bucket::new(rps * RATE_PART, Instant::now()),
         };
         actix::spawn(fleet.run());
     }
@@ -75,6 +79,7 @@
     term: Term,
     catalog_at: Option<Instant>,
     listed_at: Option<Instant>,
+    calls: Bucket,
 }
 
 impl Fleet {
@@ -89,10 +94,16 @@
         last.is_none_or(|at| at.elapsed() >= every)
     }
 
-    /// Keeps below the cloud's limit.
-    async fn pace(&self) {
-        let rps = self.shared.settings.params.cloud.rps * RATE_PART;
-        actix::clock::sleep(Duration::from_secs_f64(1.0 / rps.max(0.1))).await;
+    /// Keeps below the cloud's limit; a burst of a second's worth is fine.
+    async fn pace(&mut self) {
+        loop {
+            let wait = self.calls.wait(1.0, Instant::now());
+            if wait.is_zero() {
+                break;
+            }
+            actix::clock::sleep(wait).await;
+        }
+        self.calls.take(1.0, Instant::now());
     }
 
     async fn look(&mut self) {
@@ -143,11 +154,11 @@
                 }
                 Action::Return(ids, why) => self.give_back(ids, why).await,
             }
-            self.pace().await;
         }
     }
 
     async fn read_catalog(&mut self) {
+        self.pace().await;
         match self.cloud.catalog().await {
             Ok(builds) => {
                 self.catalog_at = Some(Instant::now());
@@ -163,6 +174,7 @@
     }
 
     async fn read_list(&mut self) {
+        self.pace().await;
         match self.cloud.list().await {
             Ok(list) => {
                 let now = Instant::now();
@@ -183,7 +195,8 @@
         let Some(cluster) = guard.as_mut().filter(|c| c.term == self.term) else {
             return Vec::new();
         };
-        if now.saturating_duration_since(cluster.since) < SETTLE {
+        let unheard = cluster.machines.values().any(Machine::expected);
+        if unheard && now.saturating_duration_since(cluster.since) < SETTLE {
             return Vec::new();
         }
         let policy = &self.shared.policy;
@@ -201,6 +214,7 @@
     }
 
     async fn hire(&mut self, hire: HireBody, offer: Offer) {
+        self.pace().await;
         let outcome = self.cloud.hire(&hire).await;
         let now = Instant::now();
         match outcome {
@@ -228,6 +242,7 @@
     }
 
     async fn give_back(&mut self, ids: Vec<MachineId>, why: &'static str) {
+        self.pace().await;
         match self.cloud.give_back(&ids).await {
             Ok(()) => {
                 info!(machines = ?ids, why, "returned");
--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -197,6 +197,12 @@
         self.slots.values().any(Slot::occupies)
     }
 
+    /// Whether it should be up but has not reported in this term.
+    pub fn expected(&self) -> bool {
+        let up = self.listed == Listed::Running || self.rostered == Durable::Yes;
+        self.reported.is_none() && up
+    }
+
     /// What is taken of it, starts not yet confirmed and stops not yet finished included.
     pub fn taken(&self) -> Amount {
         let mut sum = Amount::default();
