--- a/src/actors/leader.rs
+++ b/src/actors/leader.rs
@@ -112,7 +112,7 @@
         };
         let now = Instant::now();
         let replica = self.shared.replica.lock();
-        let cluster = Cluster::take_over(
+        let mut cluster = Cluster::take_over(
             record.term,
             &self.shared.settings,
             &replica,
@@ -120,6 +120,7 @@
             now,
             SystemTime::now(),
         );
+        cluster.hint_images(self.shared.images.lock().clone());
         info!(
             term = record.term.0,
             jobs = cluster.jobs.len(),
--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -44,14 +44,16 @@
     fn digest(&self) -> Option<Digest> {
         let now = Instant::now();
         let lead = self.shared.role.lock().leading(now)?;
-        let counts = {
+        let (counts, images) = {
             let guard = self.shared.cluster.lock();
-            guard.as_ref()?.counts()
+            let cluster = guard.as_ref()?;
+            (cluster.counts(), cluster.images())
         };
         Some(Digest {
             term: lead.term,
             member: self.shared.settings.member.clone(),
             counts,
+            images,
         })
     }
 
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::config::{secs, Settings};
 use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term, Verdict};
+use crate::peer::Images;
 use crate::store::replica::Replica;
 use crate::wire::{ListedMachine, Order};
 use done::DoneSet;
@@ -99,6 +100,7 @@
     pub waits: Vec<Duration>,
     /// Submissions per class, for the expected demand.
     pub arrivals: Vec<(Instant, Arc<crate::model::JobSpec>)>,
+    hints: HashMap<MachineId, Images>,
     departed: BTreeSet<MachineId>,
     attempts: u32,
     chunk: usize,
@@ -128,6 +130,7 @@
             dirty: true,
             waits: Vec::new(),
             arrivals: Vec::new(),
+            hints: HashMap::new(),
             departed: BTreeSet::new(),
             attempts: 0,
             chunk: done::chunk_size(settings.params.state.value_kb),
@@ -147,6 +150,17 @@
         cluster
     }
 
+    /// Takes what an earlier leader told of the machines' images.
+    pub fn hint_images(&mut self, hints: HashMap<MachineId, Images>) {
+        self.hints = hints;
+    }
+
+    /// The images of all machines, for a leader to come.
+    pub fn images(&self) -> Vec<(MachineId, Images)> {
+        let machines = self.machines.values().filter(|m| !m.images.is_empty());
+        machines.map(|m| (m.id.clone(), m.images.clone())).collect()
+    }
+
     /// Takes a new catalog.
     pub fn set_catalog(&mut self, catalog: Catalog) {
         self.catalog = catalog;
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -56,6 +56,9 @@
         if machine.reported.is_none() {
             self.dirty = true;
             machine.idle_since = now;
+            if let Some(images) = self.hints.remove(&id) {
+                machine.images = images;
+            }
         }
         machine.reported = Some(now);
         machine.address.clone_from(&report.address);
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -6,7 +6,7 @@
 use actix_web::{web, HttpResponse};
 use serde::{Deserialize, Serialize};
 
-use crate::model::{JobId, Term};
+use crate::model::{JobId, MachineId, Term};
 use crate::service::Shared;
 
 /// Path of the digest.
@@ -25,8 +25,14 @@
     pub member: String,
     /// Completed and running tasks of the jobs under way, for display.
     pub counts: Vec<(JobId, u32, u32)>,
+    /// Images the machines have fetched. A new leader can't learn them from reports; they are
+    /// a hint for placement, and nothing that must be right hangs on them.
+    pub images: Vec<(MachineId, Images)>,
 }
 
+/// Images with their sizes in GB, most recently used last.
+pub type Images = Vec<(String, f64)>;
+
 /// Encodes for a peer.
 pub fn encode<T: Serialize>(value: &T) -> Option<Vec<u8>> {
     bincode::serde::encode_to_vec(value, bincode::config::standard()).ok()
@@ -52,6 +58,7 @@
     *shared.peer_contact.lock() = Some(Instant::now());
     let counts = digest.counts.into_iter();
     *shared.counts.lock() = counts.map(|(id, d, r)| (id, (d, r))).collect();
+    *shared.images.lock() = digest.images.into_iter().collect();
     HttpResponse::NoContent().finish()
 }
 
@@ -77,6 +84,7 @@
                 .map(|id| (id, 2, 5))
                 .into_iter()
                 .collect(),
+            images: vec![(MachineId("m-1".into()), vec![("img".to_owned(), 2.5)])],
         };
         let bytes = encode(&digest).unwrap();
         assert_eq!(decode::<Digest>(&bytes), Some(digest));
--- a/src/service.rs
+++ b/src/service.rs
@@ -17,6 +17,7 @@
 use crate::leader::Role;
 use crate::metrics::Metrics;
 use crate::model::{JobId, MachineId};
+use crate::peer::Images;
 use crate::sched::Policy;
 use crate::store::from_value;
 use crate::store::replica::{News, Replica};
@@ -122,6 +123,8 @@
     pub catalog: Shelf<Option<Catalog>>,
     /// Counts of completed and running tasks, as the leader last told.
     pub counts: Shelf<HashMap<JobId, (u32, u32)>>,
+    /// Images the machines have, as the leader last told.
+    pub images: Shelf<HashMap<MachineId, Images>>,
     /// Contact with the state service.
     pub contact: Shelf<Contact>,
     /// When a peer last told that it is in contact with the state service.
@@ -150,6 +153,7 @@
             cluster: Shelf::default(),
             catalog: Shelf::default(),
             counts: Shelf::default(),
+            images: Shelf::default(),
             contact: Shelf::default(),
             peer_contact: Shelf::default(),
             operator: Shelf::default(),
