--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -35,7 +35,7 @@
 /// Reports missed before a machine counts as silent for placement.
 const QUIET_REPORTS: f64 = 2.5;
 /// Reports missed before a machine is given up and returned.
-const LOST_REPORTS: f64 = 4.0;
+const LOST_REPORTS: f64 = 3.0;
 /// A stop is repeated in reports' answers; straight to the machine only after this long.
 const REPEAT_STOP: Duration = Duration::from_secs(2);
 
--- a/src/sched/allocate.rs
+++ b/src/sched/allocate.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Instant;
 
-use super::zones_of;
+use super::{zones_of, Policy};
 use crate::cluster::{build_named, Cluster, Job, Phase};
 use crate::model::{Amount, Build, JobSpec, MachineId};
 
@@ -54,6 +54,9 @@
     }
 }
 
+/// What it counts to take room that a class of higher rank could use and may have to take
+/// back by force.
+const CONTESTED_S: f64 = 15.0;
 /// Fetches shorter than this are never waited around.
 const LONG_FETCH_S: f64 = 10.0;
 /// A task that outlived its estimate is expected to go on for at least this long.
@@ -170,8 +173,25 @@
     own + others.values().sum::<f64>() * SHARED_LINE
 }
 
+/// Whether a class of higher rank that has to start promptly could use the machine.
+fn contested(cluster: &Cluster, policy: &Policy, room: &Room, spec: &JobSpec) -> bool {
+    cluster.arrivals.iter().any(|(_, other)| {
+        other.rank > spec.rank
+            && policy.prompt.contains_key(&other.class)
+            && other.allows(&room.build, &room.zone, room.spot)
+            && other.need.fits(&room.free)
+    })
+}
+
 /// Lower is better.
-fn score(cluster: &Cluster, id: &MachineId, room: &Room, spec: &JobSpec, now: Instant) -> f64 {
+fn score(
+    cluster: &Cluster,
+    policy: &Policy,
+    id: &MachineId,
+    room: &Room,
+    spec: &JobSpec,
+    now: Instant,
+) -> f64 {
     let Some(build) = build_named(cluster.catalog(), &room.build) else {
         return f64::INFINITY;
     };
@@ -188,7 +208,12 @@
     } else {
         left(room.free.cpus, spec.need.cpus, build.room.cpus)
     };
-    fetch_s(cluster, id, spec, build, now) + waste * PACKING_S
+    let claim = if contested(cluster, policy, room, spec) {
+        CONTESTED_S
+    } else {
+        0.0
+    };
+    fetch_s(cluster, id, spec, build, now) + waste * PACKING_S + claim
 }
 
 fn fits(cluster: &Cluster, job: &Job, id: &MachineId, room: &Room) -> bool {
@@ -201,6 +226,7 @@
 /// Fills `tasks` in order as far as they fit, within `zone` if given.
 fn fill(
     cluster: &Cluster,
+    policy: &Policy,
     job: &Job,
     tasks: &[u32],
     zone: Option<&str>,
@@ -218,7 +244,7 @@
         .iter()
         .filter(|(_, room)| zone.is_none_or(|zone| zone == room.zone))
         .filter(|(id, room)| fits(cluster, job, id, room))
-        .map(|(id, room)| (score(cluster, id, room, spec, now), id.clone()))
+        .map(|(id, room)| (score(cluster, policy, id, room, spec, now), id.clone()))
         .collect();
     let mut members = Vec::new();
     let mut total = 0.0;
@@ -249,7 +275,7 @@
         total += cost;
         members.push((*index, id.clone()));
         if spec.need.fits(&room.free) {
-            candidates[best].0 = score(cluster, &id, room, spec, now);
+            candidates[best].0 = score(cluster, policy, &id, room, spec, now);
         } else {
             candidates.remove(best);
         }
@@ -278,28 +304,31 @@
 /// Room for all of a gang's missing members, or what there is of it.
 pub fn gang(
     cluster: &Cluster,
+    policy: &Policy,
     job: &Job,
     missing: &[u32],
     rooms: &mut Rooms,
     now: Instant,
 ) -> Found {
-    best_zone(cluster, job, missing, rooms, None, now)
+    best_zone(cluster, policy, job, missing, rooms, None, now)
 }
 
 /// Room for as many of an array's tasks as fit.
 pub fn array(
     cluster: &Cluster,
+    policy: &Policy,
     job: &Job,
     missing: &[u32],
     rooms: &mut Rooms,
     departures: &mut Departures,
     now: Instant,
 ) -> Found {
-    best_zone(cluster, job, missing, rooms, Some(departures), now)
+    best_zone(cluster, policy, job, missing, rooms, Some(departures), now)
 }
 
 fn best_zone(
     cluster: &Cluster,
+    policy: &Policy,
     job: &Job,
     missing: &[u32],
     rooms: &mut Rooms,
@@ -314,6 +343,7 @@
         let mut places = departures.as_deref().cloned();
         let (members, cost, deferred) = fill(
             cluster,
+            policy,
             job,
             missing,
             zone.as_deref(),
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -252,7 +252,7 @@
         return;
     }
     let before = rooms.clone();
-    let found = allocate::gang(cluster, job, &missing, rooms, now);
+    let found = allocate::gang(cluster, policy, job, &missing, rooms, now);
     // Ready when the allocated members reach the minimum, or with those that succeeded.
     if found.members.len() as u32 + placed + job.done.len() >= job.spec.minimum() {
         *used = wanted;
@@ -310,7 +310,15 @@
         decisions.waits.push((id.clone(), "its team's limit"));
         return;
     }
-    let found = allocate::array(cluster, job, &missing[..allowed], rooms, departures, now);
+    let found = allocate::array(
+        cluster,
+        policy,
+        job,
+        &missing[..allowed],
+        rooms,
+        departures,
+        now,
+    );
     let placed = found.members.len();
     used.add(&job.spec.need.times(placed as u32));
     for member in found.members {
