--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -15,16 +15,15 @@
 const NAME_BYTES: f64 = 32.0;
 /// Part of a value that a shard fills.
 const SHARD_FILL: f64 = 0.5;
-/// Machines gone from the fleet before the roster is written just to drop them.
-const DROPS_PER_WRITE: usize = 4;
 
 /// The machines that may hold tasks, in shards that each fit a value.
 #[derive(Debug, Default)]
 pub struct Roster {
     shards: BTreeMap<usize, BTreeSet<MachineId>>,
     capacity: usize,
-    added: BTreeSet<usize>,
-    removed: BTreeMap<usize, usize>,
+    /// Shards that the records don't show as they are. Machines that are gone are struck off as
+    /// promptly as others are entered: a new leader waits for every machine named.
+    dirty: BTreeSet<usize>,
     writing: BTreeSet<usize>,
 }
 
@@ -60,35 +59,26 @@
         let next = self.shards.keys().next_back().map_or(0, |last| last + 1);
         let shard = room.map_or(next, |(shard, _)| *shard);
         self.shards.entry(shard).or_default().insert(id.clone());
-        self.added.insert(shard);
+        self.dirty.insert(shard);
     }
 
     /// The machine is gone. The record follows with the next write.
     pub fn remove(&mut self, id: &MachineId) {
         for (shard, names) in &mut self.shards {
             if names.remove(id) {
-                *self.removed.entry(*shard).or_default() += 1;
+                self.dirty.insert(*shard);
             }
         }
     }
 
     fn due(&mut self) -> Vec<(usize, Vec<MachineId>)> {
-        let due: Vec<usize> = self
-            .shards
-            .keys()
-            .filter(|shard| !self.writing.contains(shard))
-            .filter(|shard| {
-                let removed = self.removed.get(shard).copied().unwrap_or(0);
-                self.added.contains(shard) || removed >= DROPS_PER_WRITE
-            })
-            .copied()
-            .collect();
+        let due: Vec<usize> = self.dirty.difference(&self.writing).copied().collect();
         due.into_iter()
             .map(|shard| {
                 self.writing.insert(shard);
-                self.added.remove(&shard);
-                self.removed.remove(&shard);
-                (shard, self.shards[&shard].iter().cloned().collect())
+                self.dirty.remove(&shard);
+                let names = self.shards.get(&shard).into_iter().flatten();
+                (shard, names.cloned().collect())
             })
             .collect()
     }
@@ -232,7 +222,7 @@
             RecordKind::Roster(shard, names) => {
                 self.roster.writing.remove(shard);
                 if !ok {
-                    self.roster.added.insert(*shard);
+                    self.roster.dirty.insert(*shard);
                 }
                 for id in names {
                     if let Some(machine) = self.machines.get_mut(id) {
--- a/src/service.rs
+++ b/src/service.rs
@@ -187,7 +187,7 @@
         let peer = *self.peer_contact.lock();
         let peer_fine = peer.is_some_and(|at| now.saturating_duration_since(at) < CONTACT_LOST);
         let loaded = self.replica.lock().loaded;
-        loaded && !(failing && peer_fine)
+        (loaded && !failing) || !peer_fine
     }
 
     /// Passes on what the watch brought.
