--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -97,7 +97,7 @@
     }
 
     fn round(self: &Rc<Self>, lead: &Lead, now: Instant) {
-        let (writes, direct, waits) = {
+        let (direct, waits) = {
             let mut guard = self.shared.cluster.lock();
             let Some(cluster) = guard.as_mut().filter(|c| c.term == lead.term) else {
                 return;
@@ -116,15 +116,10 @@
                 metrics.stops += stops as u64;
             }
             *self.shortages.lock() = decisions.short;
-            let rest = *self.writes_rest_until.lock();
-            let writes = if rest.is_none_or(|until| now >= until) {
-                cluster.due_writes()
-            } else {
-                Vec::new()
-            };
             let direct = cluster.direct_orders(now);
-            (writes, direct, std::mem::take(&mut cluster.waits))
+            (direct, std::mem::take(&mut cluster.waits))
         };
+        let writes = self.due_writes(lead, now);
         for write in writes {
             actix::spawn(self.clone().write(lead.clone(), write));
         }
@@ -143,6 +138,17 @@
         }
     }
 
+    fn due_writes(&self, lead: &Lead, now: Instant) -> Vec<RecordWrite> {
+        let rest = *self.writes_rest_until.lock();
+        if rest.is_some_and(|until| now < until) {
+            return Vec::new();
+        }
+        let replica = self.shared.replica.lock();
+        let mut guard = self.shared.cluster.lock();
+        let cluster = guard.as_mut().filter(|c| c.term == lead.term);
+        cluster.map_or(Vec::new(), |cluster| cluster.due_writes(&replica))
+    }
+
     /// Writes what the picture waits for, on condition that we still lead.
     async fn write(self: Rc<Self>, lead: Lead, mut write: RecordWrite) {
         let condition = Condition::new(keys::LEADER, lead.version);
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -23,6 +23,7 @@
 use crate::config::{secs, Settings};
 use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term, Verdict};
 use crate::peer::Images;
+use crate::store::keys;
 use crate::store::replica::Replica;
 use crate::wire::{ListedMachine, Order};
 use done::DoneSet;
@@ -104,6 +105,8 @@
     departed: BTreeSet<MachineId>,
     attempts: u32,
     chunk: usize,
+    /// Versions of the chunks and shards we wrote, which the replica may not show yet.
+    versions: HashMap<String, u64>,
     roster: records::Roster,
     catalog: Catalog,
 }
@@ -133,6 +136,7 @@
             hints: HashMap::new(),
             departed: BTreeSet::new(),
             attempts: 0,
+            versions: HashMap::new(),
             chunk: done::chunk_size(settings.params.state.value_kb),
             roster,
             catalog,
@@ -242,7 +246,10 @@
     }
 
     fn forget_job(&mut self, id: &JobId) {
-        if self.jobs.remove(id).is_some() {
+        if let Some(job) = self.jobs.remove(id) {
+            for chunk in 0..job.done.chunks() {
+                self.versions.remove(&keys::done(id, chunk));
+            }
             for machine in self.machines.values_mut() {
                 machine.slots.retain(|slot, state| {
                     // What was never sent needs no memory; the rest stays until it is gone.
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -9,6 +9,7 @@
 use super::Cluster;
 use crate::model::{JobId, MachineId, Verdict};
 use crate::store::keys::{self, DoneRecord, JobRecord, LiveRecord, RosterRecord};
+use crate::store::replica::{Replica, Versioned};
 use crate::store::{to_value, Change, Condition, Group, Outcome};
 
 /// Bytes a machine's name takes in a shard, envelope included.
@@ -29,11 +30,11 @@
 
 impl Roster {
     /// From the records.
-    pub fn load(records: &BTreeMap<usize, RosterRecord>, value_kb: f64) -> Self {
+    pub fn load(records: &BTreeMap<usize, Versioned<RosterRecord>>, value_kb: f64) -> Self {
         let shards = records
             .iter()
             .map(|(shard, record)| {
-                let names = record.machines.iter();
+                let names = record.record.machines.iter();
                 let names = names.map(|name| MachineId(name.as_str().into()));
                 (*shard, names.collect())
             })
@@ -111,14 +112,18 @@
 impl Cluster {
     /// The writes that are due. Each is marked as under way until
     /// [`Cluster::written`] takes its outcome.
-    pub fn due_writes(&mut self) -> Vec<RecordWrite> {
+    ///
+    /// A write of a chunk or a shard replaces the one before, so it is conditional on the
+    /// version before: a write that got no answer may be applied minutes late, and must not
+    /// then undo a newer one.
+    pub fn due_writes(&mut self, replica: &Replica) -> Vec<RecordWrite> {
         let mut writes = Vec::new();
         let unsettled = !self.unsettled.is_empty();
         for (id, job) in &mut self.jobs {
             if job.writing {
                 continue;
             }
-            let when = vec![Condition::new(keys::job(id), job.version)];
+            let mut when = vec![Condition::new(keys::job(id), job.version)];
             let all_done = job.done.len() == job.spec.tasks;
             let records_go = |job: &super::Job| {
                 let mut apply = vec![Change::delete(keys::live(id))];
@@ -153,6 +158,9 @@
                     let bits = job.done.encode(chunk);
                     let record = DoneRecord { bits: bits.clone() };
                     let key = keys::done(id, chunk);
+                    let own = self.versions.get(&key).copied().unwrap_or(0);
+                    let version = own.max(replica.done_version(id, chunk));
+                    when.push(Condition::new(key.clone(), version));
                     let kind = RecordKind::Done(id.clone(), chunk, bits);
                     (kind, vec![Change::put(key, to_value(&record))])
                 }),
@@ -174,13 +182,14 @@
             let record = RosterRecord {
                 machines: names.iter().map(|id| id.0.to_string()).collect(),
             };
-            let apply = vec![Change::put(keys::roster(shard), to_value(&record))];
+            let key = keys::roster(shard);
+            let own = self.versions.get(&key).copied().unwrap_or(0);
+            let version = own.max(replica.roster_version(shard));
+            let when = vec![Condition::new(key.clone(), version)];
+            let apply = vec![Change::put(key, to_value(&record))];
             writes.push(RecordWrite {
                 kind: RecordKind::Roster(shard, names),
-                group: Group {
-                    when: Vec::new(),
-                    apply,
-                },
+                group: Group { when, apply },
             });
         }
         writes
@@ -190,6 +199,16 @@
     pub fn written(&mut self, kind: &RecordKind, outcome: &Outcome) {
         let ok = outcome.committed();
         self.dirty = true;
+        if let Outcome::Committed(revision) = outcome {
+            let key = match kind {
+                RecordKind::Done(id, chunk, _) => Some(keys::done(id, *chunk)),
+                RecordKind::Roster(shard, _) => Some(keys::roster(*shard)),
+                _ => None,
+            };
+            if let Some(key) = key {
+                self.versions.insert(key, *revision);
+            }
+        }
         match kind {
             RecordKind::Started(id) => {
                 if let Some(job) = self.jobs.get_mut(id) {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -508,7 +508,12 @@
             && !machine.busy()
             && !kept.contains(&machine.id)
             && !leaving.contains(&machine.id);
-        let Some(build) = build_named(cluster.catalog(), &machine.build).filter(|_| free) else {
+        if !free {
+            continue;
+        }
+        let Some(build) = build_named(cluster.catalog(), &machine.build) else {
+            // A type the catalog does not have is of no use to anybody.
+            idle.push((machine.id.clone(), "its type is unknown"));
             continue;
         };
         let since = now.saturating_duration_since(machine.idle_since);
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -33,9 +33,9 @@
     /// Descriptions.
     pub live: BTreeMap<JobId, Versioned<LiveRecord>>,
     /// Completed tasks.
-    pub done: BTreeMap<(JobId, usize), DoneRecord>,
+    pub done: BTreeMap<(JobId, usize), Versioned<DoneRecord>>,
     /// Machines that may hold tasks.
-    pub roster: BTreeMap<usize, RosterRecord>,
+    pub roster: BTreeMap<usize, Versioned<RosterRecord>>,
 }
 
 impl<T: Default> Default for Versioned<T> {
@@ -130,12 +130,12 @@
             }
             Key::Done(id, chunk) => {
                 let record: DoneRecord = from_value(value)?;
-                self.done.insert((id, chunk), record);
+                self.done.insert((id, chunk), Versioned { version, record });
                 None
             }
             Key::Roster(shard) => {
                 let record: RosterRecord = from_value(value)?;
-                self.roster.insert(shard, record);
+                self.roster.insert(shard, Versioned { version, record });
                 None
             }
         }
@@ -171,6 +171,17 @@
         self.jobs.get(id).map_or(0, |job| job.version)
     }
 
+    /// The version of a chunk of completed tasks; 0: there is none.
+    pub fn done_version(&self, id: &JobId, chunk: usize) -> u64 {
+        let kept = self.done.get(&(id.clone(), chunk));
+        kept.map_or(0, |kept| kept.version)
+    }
+
+    /// The version of a shard of the roster; 0: there is none.
+    pub fn roster_version(&self, shard: usize) -> u64 {
+        self.roster.get(&shard).map_or(0, |kept| kept.version)
+    }
+
     /// The completed tasks of a job, for taking over.
     pub fn done_chunks<'a>(
         &'a self,
@@ -178,6 +189,6 @@
     ) -> impl Iterator<Item = (usize, &'a DoneRecord)> + 'a {
         self.done
             .range((id.clone(), 0)..=(id.clone(), usize::MAX))
-            .map(|((_, chunk), record)| (*chunk, record))
+            .map(|((_, chunk), kept)| (*chunk, &kept.record))
     }
 }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -26,6 +26,7 @@
     now: Instant,
     start: Instant,
     seq: u64,
+    revision: u64,
     log: String,
 }
 
@@ -123,6 +124,7 @@
             now: start,
             start,
             seq: 0,
+            revision: 100,
             log: String::new(),
         };
         scene.take_over(1);
@@ -234,9 +236,11 @@
     }
 
     fn write(&mut self, works: bool) {
-        for write in self.cluster.due_writes() {
+        let replica = self.replica();
+        for write in self.cluster.due_writes(&replica) {
             let outcome = if works {
-                Outcome::Committed(9)
+                self.revision += 1;
+                Outcome::Committed(self.revision)
             } else {
                 Outcome::Failed(StoreError::Refused(503))
             };
@@ -663,6 +667,27 @@
     insta::assert_snapshot!(s.log);
 }
 
+#[test]
+fn a_write_without_an_answer_can_not_undo_a_newer_one_when_it_is_applied_late() {
+    let mut s = Scene::new();
+    s.report("m-g1n", &[]);
+    let replica = s.replica();
+    let lost = s.cluster.due_writes(&replica).remove(0);
+    s.cluster
+        .written(&lost.kind, &Outcome::Failed(StoreError::Unknown));
+    s.report("m-g2n", &[]);
+    let again = s.cluster.due_writes(&replica).remove(0);
+    s.cluster.written(&again.kind, &Outcome::Committed(7));
+    // Both ask for the shard as it was: whichever is applied first, the other one fails.
+    assert_eq!(lost.group.when, again.group.when);
+    s.report("m-g3n", &[]);
+    let next = s.cluster.due_writes(&replica).remove(0);
+    assert_eq!(
+        next.group.when[0].version, 7,
+        "and the next one builds on what was written"
+    );
+}
+
 #[test]
 fn a_task_nobody_knows_is_killed_and_its_machine_gets_nothing_else_meanwhile() {
     let mut s = Scene::new();
