--- a/src/sched/allocate.rs
+++ b/src/sched/allocate.rs
@@ -112,6 +112,24 @@
         &self.0
     }
 
+    /// Takes the first place that leaves room for a task of the job within `limit`.
+    pub fn serve(&mut self, rooms: &Rooms, spec: &JobSpec, limit: f64) -> bool {
+        let found = self.0.iter().position(|place| {
+            rooms.0.get(&place.machine).is_some_and(|room| {
+                let mut free = room.free;
+                free.add(&place.amount);
+                spec.allows(&room.build, &room.zone, room.spot) && spec.need.fits(&free)
+            })
+        });
+        match found.filter(|at| self.0[*at].rest_s <= limit) {
+            Some(at) => {
+                self.0.remove(at);
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Takes the first place on a machine with the image that comes free within `limit`.
     fn claim(&mut self, cluster: &Cluster, spec: &JobSpec, limit: f64) -> bool {
         let found = self.0.iter().position(|place| {
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -3,11 +3,15 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use super::allocate::{Departures, Rooms};
 use super::order::Entry;
 use super::{Decisions, Halt, Policy};
 use crate::cluster::{build_named, Cluster, Drain, Job, Machine, Phase, Slot, SlotId};
 use crate::model::{Amount, JobId, MachineId, TaskId};
 
+/// Stopping, saving and starting take about this long: room that comes free sooner is waited
+/// for, whatever the aims.
+const LEAST_PATIENCE_S: f64 = 12.0;
 /// Time for a stop to reach a machine by way of its report, when the direct way is lost.
 const STOP_ARRIVES: Duration = Duration::from_secs(3);
 /// How long a job within its team's guarantee waits for room to come free by itself before
@@ -57,6 +61,16 @@
     }
 }
 
+/// How long a job may wait for room to come free by itself, in seconds: as long as it still
+/// starts in time, or a little while where that is past.
+fn patience(policy: &Policy, claimant: &Entry, now: Instant) -> f64 {
+    let spec = &claimant.job.spec;
+    let age = now.saturating_duration_since(claimant.job.submitted);
+    let within = policy.prompt.get(&spec.class);
+    let left = within.map_or(Duration::ZERO, |within| within.saturating_sub(age));
+    left.as_secs_f64().max(LEAST_PATIENCE_S)
+}
+
 /// Finds victims for jobs that found no room, highest first.
 pub fn preempt(
     cluster: &Cluster,
@@ -81,6 +95,8 @@
         }
     }
     let mut taken: HashSet<(MachineId, SlotId)> = HashSet::new();
+    let rooms = Rooms::of(cluster, now);
+    let mut departures = Departures::of(cluster, &rooms, now);
     for (claimant, tasks) in wanting {
         let by_rank = lowest.is_some_and(|rank| rank < claimant.job.spec.rank);
         let waited = now.saturating_duration_since(claimant.job.submitted);
@@ -88,6 +104,13 @@
         if !by_rank && !by_guarantee {
             continue;
         }
+        let patience = patience(policy, claimant, now);
+        let served = (0..*tasks)
+            .filter(|_| departures.serve(&rooms, &claimant.job.spec, patience))
+            .count() as u32;
+        if served == *tasks {
+            continue;
+        }
         let mut plan = Vec::new();
         let mut ready = 0;
         for _ in 0..*tasks {
