--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -33,6 +33,9 @@
 /// How much longer a machine is kept idle that serves a class which has to start promptly: it
 /// has the images, and nobody waits for a boot.
 const PROMPT_KEEP: f64 = 3.0;
+/// Part of a patient job's slack that may go by in waiting for places to come free; the rest
+/// is for estimates that are wrong.
+const SLACK_PART: f64 = 0.4;
 /// Shortest time over which arrivals are averaged, so that the first ones don't count for a
 /// flood.
 const ARRIVAL_WINDOW: Duration = Duration::from_secs(90);
@@ -108,8 +111,8 @@
     machine: Option<MachineId>,
     offer: Offer,
     free: Amount,
-    /// A task is on it still.
-    later: bool,
+    /// A task is on it still, and is expected to leave in so many seconds.
+    rest_s: Option<f64>,
 }
 
 /// What to rent and return now.
@@ -129,21 +132,27 @@
         by_reason.entry(why).or_default().push(id);
     }
 
-    let mut bays = bays(cluster, &leaving, now);
+    let mut planner = Planner {
+        cluster,
+        market,
+        now,
+        bays: bays(cluster, &leaving, now),
+        rents: BTreeMap::new(),
+    };
     // Who has to start soon is not made to wait for others to finish.
     let (prompt, patient): (Vec<&Short>, Vec<&Short>) = short
         .iter()
         .partition(|want| policy.prompt.contains_key(&want.spec.class));
-    let mut rents: BTreeMap<Offer, u32> = BTreeMap::new();
     for want in prompt {
-        place_want(cluster, want, &mut bays, &mut rents, market, now);
+        planner.place_want(want);
     }
-    bays.extend(departing(cluster, &leaving, now));
+    planner.bays.extend(departing(cluster, &leaving, now));
     for want in patient {
-        place_want(cluster, want, &mut bays, &mut rents, market, now);
+        planner.place_want(want);
     }
-    bays.retain(|bay| !bay.later);
-    let kept = keep_spare(cluster, policy, &mut bays, &mut rents, market, thrift, now);
+    planner.bays.retain(|bay| bay.rest_s.is_none());
+    let kept = planner.keep_spare(policy, thrift);
+    let rents = planner.rents;
     for (id, why) in idle_machines(cluster, &kept, &leaving, policy, market, thrift, now) {
         by_reason.entry(why).or_default().push(id);
     }
@@ -223,7 +232,7 @@
                 spot: room.spot,
             },
             free: room.free,
-            later: false,
+            rest_s: None,
         })
         .collect();
     for machine in cluster.machines.values() {
@@ -244,15 +253,14 @@
                     spot: machine.spot,
                 },
                 free: build.room,
-                later: false,
+                rest_s: None,
             });
         }
     }
     bays
 }
 
-/// Room that running tasks will leave, by their owners' estimates, before a machine rented
-/// now would be up: whoever waits gets it sooner than a new machine.
+/// Room that running tasks will leave, by their owners' estimates.
 fn departing(cluster: &Cluster, leaving: &BTreeSet<MachineId>, now: Instant) -> Vec<Bay> {
     let rooms = Rooms::of(cluster, now);
     let departures = Departures::of(cluster, &rooms, now);
@@ -262,21 +270,18 @@
         let Some(room) = room.filter(|_| !leaving.contains(&place.machine)) else {
             continue;
         };
-        let boot = build_named(cluster.catalog(), &room.build).map(|build| build.boot);
-        if boot.is_some_and(|boot| place.rest_s < boot.as_secs_f64()) {
-            let mut free = room.free;
-            free.add(&place.amount);
-            bays.push(Bay {
-                machine: None,
-                offer: Offer {
-                    build: room.build.clone(),
-                    zone: room.zone.clone(),
-                    spot: room.spot,
-                },
-                free,
-                later: true,
-            });
-        }
+        let mut free = room.free;
+        free.add(&place.amount);
+        bays.push(Bay {
+            machine: None,
+            offer: Offer {
+                build: room.build.clone(),
+                zone: room.zone.clone(),
+                spot: room.spot,
+            },
+            free,
+            rest_s: Some(place.rest_s),
+        });
     }
     bays
 }
@@ -318,176 +323,185 @@
     build.price_of(spot) / f64::from(each.max(1))
 }
 
-/// Puts tasks without room into bays, renting what is missing.
-fn place_want(
-    cluster: &Cluster,
-    want: &Short,
-    bays: &mut Vec<Bay>,
-    rents: &mut BTreeMap<Offer, u32>,
-    market: &Market,
+/// Puts what waits into the room there is or will be, and rents for the rest.
+struct Planner<'a> {
+    cluster: &'a Cluster,
+    market: &'a Market,
     now: Instant,
-) {
-    let spec = &want.spec;
-    let mut zone = want.zone.clone();
-    if spec.one_zone && zone.is_none() {
-        zone = cheapest_zone(cluster, want, bays, market, now);
-        if zone.is_none() {
-            return;
-        }
-    }
-    let mut per_zone: HashMap<String, u32> = HashMap::new();
-    for _ in 0..want.tasks {
-        if !place_one(
-            cluster,
-            spec,
-            zone.as_deref(),
-            bays,
-            rents,
-            market,
-            &mut per_zone,
-            now,
-        ) {
-            return;
-        }
-    }
+    bays: Vec<Bay>,
+    rents: BTreeMap<Offer, u32>,
 }
 
-/// The zone in which the fewest machines have to be rented, then the cheapest.
-fn cheapest_zone(
-    cluster: &Cluster,
-    want: &Short,
-    bays: &[Bay],
-    market: &Market,
-    now: Instant,
-) -> Option<String> {
-    let spec = &want.spec;
-    let zones: BTreeSet<&String> = cluster.catalog().iter().flat_map(|b| &b.zones).collect();
-    let mut best: Option<(u32, f64, String)> = None;
-    for zone in zones {
-        let there: u32 = bays
-            .iter()
-            .filter(|bay| bay.offer.zone == *zone && usable(spec, bay))
-            .map(|bay| spec.need.count_in(&bay.free))
-            .sum();
-        let missing = want.tasks.saturating_sub(there);
-        let price = match offers(cluster, spec, Some(zone), market, now).first() {
-            Some((price, _)) => *price,
-            None if missing == 0 => 0.0,
-            None => continue,
+/// Where a task may be put.
+struct Bounds<'a> {
+    zone: Option<&'a str>,
+    /// Seconds it may wait for others to leave.
+    patience_s: f64,
+    /// Tasks of its job already put, by zone.
+    per_zone: HashMap<String, u32>,
+}
+
+impl Planner<'_> {
+    /// Offers that a job can use, cheapest for a task of it first.
+    fn offers(&self, spec: &JobSpec, zone: Option<&str>) -> Vec<(f64, Offer)> {
+        offers(self.cluster, spec, zone, self.market, self.now)
+    }
+
+    /// Puts tasks without room into bays, renting what is missing.
+    fn place_want(&mut self, want: &Short) {
+        let spec = &want.spec;
+        let mut zone = want.zone.clone();
+        if spec.one_zone && zone.is_none() {
+            zone = self.cheapest_zone(want);
+            if zone.is_none() {
+                return;
+            }
+        }
+        let latest = want.target.checked_sub(spec.estimate());
+        let slack = latest.map_or(Duration::ZERO, |at| at.saturating_duration_since(self.now));
+        let mut bounds = Bounds {
+            zone: zone.as_deref(),
+            patience_s: slack.as_secs_f64() * SLACK_PART,
+            per_zone: HashMap::new(),
         };
-        let better = best.as_ref().is_none_or(|(fewest, least, _)| {
-            missing < *fewest || (missing == *fewest && price < *least)
-        });
-        if better {
-            best = Some((missing, price, zone.clone()));
+        for _ in 0..want.tasks {
+            if !self.place_one(spec, &mut bounds) {
+                return;
+            }
         }
     }
-    best.map(|(_, _, zone)| zone)
-}
 
-fn usable(spec: &JobSpec, bay: &Bay) -> bool {
-    spec.allows(&bay.offer.build, &bay.offer.zone, bay.offer.spot) && spec.need.fits(&bay.free)
-}
+    /// The zone in which the fewest machines have to be rented, then the cheapest.
+    fn cheapest_zone(&self, want: &Short) -> Option<String> {
+        let spec = &want.spec;
+        let catalog = self.cluster.catalog();
+        let zones: BTreeSet<&String> = catalog.iter().flat_map(|b| &b.zones).collect();
+        let mut best: Option<(u32, f64, String)> = None;
+        for zone in zones {
+            let there: u32 = self
+                .bays
+                .iter()
+                .filter(|bay| bay.offer.zone == *zone && usable(spec, bay))
+                .map(|bay| spec.need.count_in(&bay.free))
+                .sum();
+            let missing = want.tasks.saturating_sub(there);
+            let price = match self.offers(spec, Some(zone)).first() {
+                Some((price, _)) => *price,
+                None if missing == 0 => 0.0,
+                None => continue,
+            };
+            let better = best.as_ref().is_none_or(|(fewest, least, _)| {
+                missing < *fewest || (missing == *fewest && price < *least)
+            });
+            if better {
+                best = Some((missing, price, zone.clone()));
+            }
+        }
+        best.map(|(_, _, zone)| zone)
+    }
 
-/// Puts one task into a bay or rents for it; whether it found either.
-#[allow(clippy::too_many_arguments)]
-fn place_one(
-    cluster: &Cluster,
-    spec: &JobSpec,
-    zone: Option<&str>,
-    bays: &mut Vec<Bay>,
-    rents: &mut BTreeMap<Offer, u32>,
-    market: &Market,
-    per_zone: &mut HashMap<String, u32>,
-    now: Instant,
-) -> bool {
-    let cap = spec.zone_cap();
-    let open = |name: &str, per_zone: &HashMap<String, u32>| {
-        per_zone.get(name).copied().unwrap_or(0) < cap
-    };
-    let bay = bays.iter_mut().find(|bay| {
-        zone.is_none_or(|zone| zone == bay.offer.zone)
-            && open(&bay.offer.zone, per_zone)
-            && usable(spec, bay)
-    });
-    if let Some(bay) = bay {
-        bay.free.sub(&spec.need);
-        *per_zone.entry(bay.offer.zone.clone()).or_default() += 1;
-        return true;
+    /// Whether a place comes free sooner than a new machine would be up, or soon enough for
+    /// the job to be in time.
+    fn soon_enough(&self, bay: &Bay, patience_s: f64) -> bool {
+        let Some(rest_s) = bay.rest_s else {
+            return true;
+        };
+        let build = build_named(self.cluster.catalog(), &bay.offer.build);
+        let boot_s = build.map_or(0.0, |build| build.boot.as_secs_f64());
+        rest_s < patience_s.max(boot_s)
     }
-    let offers = offers(cluster, spec, zone, market, now);
-    let found = offers.iter().find(|(_, o)| open(&o.zone, per_zone));
-    let Some((_, offer)) = found else {
-        return false;
-    };
-    let Some(build) = build_named(cluster.catalog(), &offer.build) else {
-        return false;
-    };
-    let mut free = build.room;
-    free.sub(&spec.need);
-    *rents.entry(offer.clone()).or_default() += 1;
-    *per_zone.entry(offer.zone.clone()).or_default() += 1;
-    bays.push(Bay {
-        machine: None,
-        offer: offer.clone(),
-        free,
-        later: false,
-    });
-    true
-}
 
-/// Keeps, and rents, room for what may arrive while a machine would boot, for classes whose
-/// jobs have to start sooner than that. Returns the machines so kept.
-fn keep_spare(
-    cluster: &Cluster,
-    policy: &Policy,
-    bays: &mut Vec<Bay>,
-    rents: &mut BTreeMap<Offer, u32>,
-    market: &Market,
-    thrift: Thrift,
-    now: Instant,
-) -> HashSet<MachineId> {
-    let mut kept = HashSet::new();
-    let window = now
-        .saturating_duration_since(cluster.since)
-        .clamp(ARRIVAL_WINDOW, ARRIVAL_WINDOW * 2);
-    let mut classes: BTreeMap<&str, (f64, &JobSpec)> = BTreeMap::new();
-    for (at, spec) in &cluster.arrivals {
-        if now.saturating_duration_since(*at) <= window && policy.prompt.contains_key(&spec.class) {
-            let entry = classes.entry(&spec.class).or_insert((0.0, spec));
-            entry.0 += f64::from(spec.tasks);
+    /// Puts one task into a bay or rents for it; whether it found either.
+    fn place_one(&mut self, spec: &JobSpec, bounds: &mut Bounds) -> bool {
+        let cap = spec.zone_cap();
+        let per_zone = &bounds.per_zone;
+        let open = |zone: &str| per_zone.get(zone).copied().unwrap_or(0) < cap;
+        let found = self.bays.iter().position(|bay| {
+            bounds.zone.is_none_or(|zone| zone == bay.offer.zone)
+                && open(&bay.offer.zone)
+                && usable(spec, bay)
+                && self.soon_enough(bay, bounds.patience_s)
+        });
+        if let Some(at) = found {
+            let bay = &mut self.bays[at];
+            bay.free.sub(&spec.need);
+            let zone = bay.offer.zone.clone();
+            *bounds.per_zone.entry(zone).or_default() += 1;
+            return true;
         }
-    }
-    for (_, (tasks, spec)) in classes {
-        let offers = offers(cluster, spec, None, market, now);
-        let boot = offers.first().and_then(|(_, offer)| {
-            let build = build_named(cluster.catalog(), &offer.build)?;
-            Some(build.boot)
+        let offers = self.offers(spec, bounds.zone);
+        let Some((_, offer)) = offers.into_iter().find(|(_, offer)| open(&offer.zone)) else {
+            return false;
+        };
+        let Some(build) = build_named(self.cluster.catalog(), &offer.build) else {
+            return false;
+        };
+        let mut free = build.room;
+        free.sub(&spec.need);
+        *self.rents.entry(offer.clone()).or_default() += 1;
+        *bounds.per_zone.entry(offer.zone.clone()).or_default() += 1;
+        self.bays.push(Bay {
+            machine: None,
+            offer,
+            free,
+            rest_s: None,
         });
-        let Some(boot) = boot else { continue };
-        let expected = tasks / window.as_secs_f64() * boot.as_secs_f64();
-        let spare = (expected + SPARE_DEVIATIONS * expected.sqrt()) * thrift.spare_factor;
-        let mut any = spec.clone();
-        any.one_zone = false;
-        any.spread = false;
-        any.zone = None;
-        let mut per_zone = HashMap::new();
-        for _ in 0..spare.round() as u32 {
-            let before: Vec<Amount> = bays.iter().map(|bay| bay.free).collect();
-            let placed = place_one(cluster, &any, None, bays, rents, market, &mut per_zone, now);
-            if !placed {
-                break;
+        true
+    }
+
+    /// Keeps, and rents, room for what may arrive while a machine would boot, for classes
+    /// whose jobs have to start sooner than that. Returns the machines so kept.
+    fn keep_spare(&mut self, policy: &Policy, thrift: Thrift) -> HashSet<MachineId> {
+        let cluster = self.cluster;
+        let mut kept = HashSet::new();
+        let window = self
+            .now
+            .saturating_duration_since(cluster.since)
+            .clamp(ARRIVAL_WINDOW, ARRIVAL_WINDOW * 2);
+        let mut classes: BTreeMap<&str, (f64, &JobSpec)> = BTreeMap::new();
+        for (at, spec) in &cluster.arrivals {
+            let recent = self.now.saturating_duration_since(*at) <= window;
+            if recent && policy.prompt.contains_key(&spec.class) {
+                let entry = classes.entry(&spec.class).or_insert((0.0, spec));
+                entry.0 += f64::from(spec.tasks);
             }
-            let used = bays
-                .iter()
-                .zip(&before)
-                .find(|(bay, was)| bay.free != **was);
-            if let Some(id) = used.and_then(|(bay, _)| bay.machine.clone()) {
-                kept.insert(id);
+        }
+        for (_, (tasks, spec)) in classes {
+            let offers = self.offers(spec, None);
+            let boot = offers.first().and_then(|(_, offer)| {
+                let build = build_named(cluster.catalog(), &offer.build)?;
+                Some(build.boot)
+            });
+            let Some(boot) = boot else { continue };
+            let expected = tasks / window.as_secs_f64() * boot.as_secs_f64();
+            let spare = (expected + SPARE_DEVIATIONS * expected.sqrt()) * thrift.spare_factor;
+            let mut any = spec.clone();
+            any.one_zone = false;
+            any.spread = false;
+            any.zone = None;
+            let mut bounds = Bounds {
+                zone: None,
+                patience_s: 0.0,
+                per_zone: HashMap::new(),
+            };
+            for _ in 0..spare.round() as u32 {
+                let before: Vec<Amount> = self.bays.iter().map(|bay| bay.free).collect();
+                if !self.place_one(&any, &mut bounds) {
+                    break;
+                }
+                let mut changed = self.bays.iter().zip(&before);
+                let used = changed.find(|(bay, was)| bay.free != **was);
+                if let Some(id) = used.and_then(|(bay, _)| bay.machine.clone()) {
+                    kept.insert(id);
+                }
             }
         }
+        kept
     }
-    kept
+}
+
+fn usable(spec: &JobSpec, bay: &Bay) -> bool {
+    spec.allows(&bay.offer.build, &bay.offer.zone, bay.offer.spot) && spec.need.fits(&bay.free)
 }
 
 /// Idle machines whose keeping costs more than a new one likely would.
