Machines of patient classes are kept idle 0.6 as long; looks at the fleet are bounded

A gang of 100,000 tasks would have cost a look at the fleet quadratic time: bounded to 200 tasks a look.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,6 +15,9 @@
 pub const MOST_A_HIRE: u32 = 50;
 /// Most names in one return, by the cloud's protocol.
 pub const MOST_A_RETURN: usize = 100;
+/// Tasks of one job planned for in one look: a job of a hundred thousand must not cost a look
+/// its second, and the next look goes on from what was rented.
+const MOST_A_LOOK: u32 = 200;
 /// A boot of this many times its nominal time no longer counts on as room to come.
 const LATE_BOOT: f64 = 1.8;
 /// A boot of this many times its nominal time is given up.
@@ -30,6 +33,8 @@
 const HEARD_PART: f64 = 0.5;
 /// Standard deviations above the mean of what may arrive while a machine boots.
 const SPARE_DEVIATIONS: f64 = 3.0;
+/// The same for machines that serve only classes which can wait for a boot.
+const PATIENT_KEEP: f64 = 0.6;
 /// How much longer a machine is kept idle that serves a class which has to start promptly: it
 /// has the images, and nobody waits for a boot.
 const PROMPT_KEEP: f64 = 3.0;
@@ -364,7 +369,7 @@
             patience_s: slack.as_secs_f64() * SLACK_PART,
             per_zone: HashMap::new(),
         };
-        for _ in 0..want.tasks {
+        for _ in 0..want.tasks.min(MOST_A_LOOK) {
             if !self.place_one(spec, &mut bounds) {
                 return;
             }
@@ -535,7 +540,7 @@
         let part = (again / build.price_of(machine.spot)).clamp(0.0, 1.0);
         let worth = worth_keeping(machine, build).mul_f64(part);
         let prompt = serves_prompt(cluster, policy, machine, build);
-        let worth = worth.mul_f64(if prompt { PROMPT_KEEP } else { 1.0 });
+        let worth = worth.mul_f64(if prompt { PROMPT_KEEP } else { PATIENT_KEEP });
         if since > worth.mul_f64(thrift.idle_factor) {
             idle.push((machine.id.clone(), "it is idle"));
         }
