--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -140,6 +140,8 @@
     pub returning: bool,
     /// Jobs whose tasks failed on it since the last that completed.
     pub blame: Vec<JobId>,
+    /// Run time over estimate of the last task of each of the last few jobs on it.
+    pub paces: Vec<(JobId, f64)>,
     /// Takes no new tasks until then.
     pub rests_until: Option<Instant>,
     /// Since when it has had nothing to do.
@@ -185,6 +187,7 @@
             drain: None,
             returning: false,
             blame: Vec::new(),
+            paces: Vec::new(),
             rests_until: None,
             idle_since: now,
             listed: Listed::No,
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -11,7 +11,7 @@
 mod records;
 mod report;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -102,6 +102,9 @@
     /// Submissions per class, for the expected demand.
     pub arrivals: Vec<(Instant, Arc<crate::model::JobSpec>)>,
     hints: HashMap<MachineId, Images>,
+    /// Run times over estimates of the last tasks anywhere: what the owners' errors and the
+    /// day's mood amount to.
+    paces: VecDeque<f64>,
     departed: BTreeSet<MachineId>,
     attempts: u32,
     chunk: usize,
@@ -134,6 +137,7 @@
             waits: Vec::new(),
             arrivals: Vec::new(),
             hints: HashMap::new(),
+            paces: VecDeque::new(),
             departed: BTreeSet::new(),
             attempts: 0,
             versions: HashMap::new(),
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -15,6 +15,13 @@
 const JOBS_TO_BLAME: usize = 2;
 /// Machines on which a job fails before the job is blamed and no machine.
 const MACHINES_TO_BLAME: usize = 3;
+/// Jobs of which a machine's pace is compared with the others'.
+const JOBS_TO_COMPARE: usize = 3;
+/// A machine this much slower than the median, for all of them, is given up.
+const SLOW_PACE: f64 = 2.5;
+/// Tasks anywhere whose pace is remembered, and how many there must be for a judgement.
+const PACES_KEPT: usize = 60;
+const PACES_TO_JUDGE: usize = 15;
 /// How long a machine rests after a failure, so that a faulty one does not draw all tasks.
 const REST_AFTER_FAILURE_S: f64 = 10.0;
 /// How long a job rests after a failure, for every machine it failed on.
@@ -236,6 +243,7 @@
                 if let Some(machine) = self.machines.get_mut(id) {
                     machine.blame.clear();
                 }
+                self.note_pace(id, slot, now);
             }
             Cause::Error => self.failed(id, job_id, now),
             Cause::NoRoom | Cause::InUse | Cause::Unknown => {
@@ -248,6 +256,42 @@
         }
     }
 
+    /// Compares how long a task ran with its estimate, and the machine's record with that of
+    /// all: estimates are often wrong by half, but not for several jobs on one machine only.
+    fn note_pace(&mut self, id: &MachineId, slot: &SlotId, now: Instant) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let state = machine.slots.get(slot);
+        let Some((spec, since)) = state.and_then(|s| Some((s.spec.clone()?, s.running_since?)))
+        else {
+            return;
+        };
+        if spec.estimate_s <= 0.0 {
+            return;
+        }
+        let ran = now.saturating_duration_since(since).as_secs_f64();
+        let pace = ran / spec.estimate_s;
+        self.paces.push_back(pace);
+        if self.paces.len() > PACES_KEPT {
+            self.paces.pop_front();
+        }
+        machine.paces.retain(|(job, _)| *job != slot.task.job);
+        machine.paces.push((slot.task.job.clone(), pace));
+        if machine.paces.len() > JOBS_TO_COMPARE {
+            machine.paces.remove(0);
+        }
+        let mut sorted: Vec<f64> = self.paces.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        let median = sorted[sorted.len() / 2];
+        let slow = |(_, pace): &(JobId, f64)| *pace > median * SLOW_PACE;
+        let enough = machine.paces.len() == JOBS_TO_COMPARE && sorted.len() >= PACES_TO_JUDGE;
+        if enough && machine.paces.iter().all(slow) && machine.drain.is_none() {
+            warn!(machine = %id, median, paces = ?machine.paces, "slow for several jobs");
+            machine.drain = Some(Drain::Slow);
+        }
+    }
+
     fn failed(&mut self, id: &MachineId, job_id: &JobId, now: Instant) {
         let Some(job) = self.jobs.get_mut(job_id) else {
             return;
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-use knotlanding::cluster::{Cluster, RecordKind, Verified};
+use knotlanding::cluster::{Cluster, Drain, RecordKind, Verified};
 use knotlanding::config::Settings;
 use knotlanding::fleet::{self, Market, Thrift};
 use knotlanding::model::{Amount, Build, JobId, JobSpec, MachineId, Rank, Shape, Term, Verdict};
@@ -726,6 +726,31 @@
     insta::assert_snapshot!(s.log);
 }
 
+#[test]
+fn a_machine_that_is_slow_for_three_jobs_is_given_up_and_wrong_estimates_blame_none() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2n"]);
+    for job in 1..=18u64 {
+        let id = format!("wk-{job:06}");
+        s.submit(array(&id, 1));
+        let task = format!("{id}/0");
+        // Every estimate is twice too high; what runs on the first machine takes five times
+        // as long as what runs on the second.
+        let (machine, ran) = if job % 6 == 0 {
+            ("m-g1n", 250.0)
+        } else {
+            ("m-g2n", 50.0)
+        };
+        s.report(machine, &[(&task, job, RUNNING, None)]);
+        s.pass(ran);
+        s.report(machine, &[(&task, job, EXITED, Some(Cause::Done))]);
+        s.report(machine, &[]);
+    }
+    let drain = |s: &Scene, id: &str| s.cluster.machines[&MachineId(id.into())].drain;
+    assert_eq!(drain(&s, "m-g1n"), Some(Drain::Slow));
+    assert_eq!(drain(&s, "m-g2n"), None);
+}
+
 #[test]
 fn urgent_work_takes_room_from_standard_work_and_only_as_much_as_it_needs() {
     let mut s = Scene::new();
