--- a/src/fleet/client.rs
+++ b/src/fleet/client.rs
@@ -7,6 +7,7 @@
 use awc::Client;
 use thiserror::Error;
 
+use crate::http::{Ask, Remote};
 use crate::model::{Build, MachineId};
 use crate::wire::{self, Flavors, HireBody, ListedMachine, MachineNames, MachinePage};
 
@@ -37,16 +38,14 @@
 /// The client.
 #[derive(Clone)]
 pub struct CloudClient {
-    base: String,
-    http: Client,
+    remote: Remote,
 }
 
 impl CloudClient {
     /// A client of the cloud at `address`.
     pub fn new(address: SocketAddrV4, http: Client) -> Self {
         Self {
-            base: format!("http://{address}"),
-            http,
+            remote: Remote::new(address, http, LARGEST),
         }
     }
 
@@ -56,23 +55,16 @@
         path: &str,
         body: Option<Vec<u8>>,
     ) -> Result<Vec<u8>, CloudError> {
-        let request = self
-            .http
-            .request(method, format!("{}{path}", self.base))
-            .timeout(ANSWER_LIMIT);
-        let sent = match body {
-            Some(body) => request.content_type(wire::CBOR).send_body(body),
-            None => request.send(),
+        let ask = Ask {
+            method,
+            path,
+            body,
+            limit: ANSWER_LIMIT,
         };
-        let mut answer = sent.await.map_err(|_| CloudError::Unknown)?;
-        let status = answer.status().as_u16();
-        let body = answer
-            .body()
-            .limit(LARGEST)
-            .await
-            .map_err(|_| CloudError::Unknown)?;
+        let answer = self.remote.ask(ask).await;
+        let (status, body) = answer.ok_or(CloudError::Unknown)?;
         match status {
-            200 => Ok(body.to_vec()),
+            200 => Ok(body),
             503 if says_no_capacity(&body) => Err(CloudError::NoCapacity),
             status => Err(CloudError::Refused(status)),
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cluster;
 pub mod config;
 pub mod fleet;
+pub mod http;
 pub mod leader;
 pub mod metrics;
 pub mod model;
--- a/src/sched/allocate.rs
+++ b/src/sched/allocate.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Instant;
 
-use super::{zones_of, Policy};
+use super::{zones_of, Policy, View};
 use crate::cluster::{build_named, Cluster, Job, Phase};
 use crate::model::{Amount, Build, JobSpec, MachineId};
 
@@ -202,14 +202,12 @@
 }
 
 /// Lower is better.
-fn score(
-    cluster: &Cluster,
-    policy: &Policy,
-    id: &MachineId,
-    room: &Room,
-    spec: &JobSpec,
-    now: Instant,
-) -> f64 {
+fn score(view: View, id: &MachineId, room: &Room, spec: &JobSpec) -> f64 {
+    let View {
+        cluster,
+        policy,
+        now,
+    } = view;
     let Some(build) = build_named(cluster.catalog(), &room.build) else {
         return f64::INFINITY;
     };
@@ -243,15 +241,14 @@
 
 /// Fills `tasks` in order as far as they fit, within `zone` if given.
 fn fill(
-    cluster: &Cluster,
-    policy: &Policy,
+    view: View,
     job: &Job,
     tasks: &[u32],
     zone: Option<&str>,
     rooms: &mut Rooms,
     mut departures: Option<&mut Departures>,
-    now: Instant,
 ) -> (Vec<(u32, MachineId)>, f64, u32) {
+    let View { cluster, now, .. } = view;
     let spec = &job.spec;
     let mut in_zone: HashMap<String, u32> = zones_of(cluster, job)
         .into_iter()
@@ -262,7 +259,7 @@
         .iter()
         .filter(|(_, room)| zone.is_none_or(|zone| zone == room.zone))
         .filter(|(id, room)| fits(cluster, job, id, room))
-        .map(|(id, room)| (score(cluster, policy, id, room, spec, now), id.clone()))
+        .map(|(id, room)| (score(view, id, room, spec), id.clone()))
         .collect();
     let mut members = Vec::new();
     let mut total = 0.0;
@@ -293,7 +290,7 @@
         total += cost;
         members.push((*index, id.clone()));
         if spec.need.fits(&room.free) {
-            candidates[best].0 = score(cluster, policy, &id, room, spec, now);
+            candidates[best].0 = score(view, &id, room, spec);
         } else {
             candidates.remove(best);
         }
@@ -320,39 +317,29 @@
 }
 
 /// Room for all of a gang's missing members, or what there is of it.
-pub fn gang(
-    cluster: &Cluster,
-    policy: &Policy,
-    job: &Job,
-    missing: &[u32],
-    rooms: &mut Rooms,
-    now: Instant,
-) -> Found {
-    best_zone(cluster, policy, job, missing, rooms, None, now)
+pub fn gang(view: View, job: &Job, missing: &[u32], rooms: &mut Rooms) -> Found {
+    best_zone(view, job, missing, rooms, None)
 }
 
 /// Room for as many of an array's tasks as fit.
 pub fn array(
-    cluster: &Cluster,
-    policy: &Policy,
+    view: View,
     job: &Job,
     missing: &[u32],
     rooms: &mut Rooms,
     departures: &mut Departures,
-    now: Instant,
 ) -> Found {
-    best_zone(cluster, policy, job, missing, rooms, Some(departures), now)
+    best_zone(view, job, missing, rooms, Some(departures))
 }
 
 fn best_zone(
-    cluster: &Cluster,
-    policy: &Policy,
+    view: View,
     job: &Job,
     missing: &[u32],
     rooms: &mut Rooms,
     departures: Option<&mut Departures>,
-    now: Instant,
 ) -> Found {
+    let cluster = view.cluster;
     let zones = zones_to_try(cluster, job, rooms);
     let settled = job.spec.one_zone && job.placed();
     let mut best: Option<(f64, Found, Rooms, Option<Departures>)> = None;
@@ -360,14 +347,12 @@
         let mut left = rooms.clone();
         let mut places = departures.as_deref().cloned();
         let (members, cost, deferred) = fill(
-            cluster,
-            policy,
+            view,
             job,
             missing,
             zone.as_deref(),
             &mut left,
             places.as_mut(),
-            now,
         );
         let better = best.as_ref().is_none_or(|(least, found, _, _)| {
             let most = found.members.len();
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -97,6 +97,17 @@
     }
 }
 
+/// What a round looks at: the picture, the rules and the time.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The picture.
+    pub cluster: &'a Cluster,
+    /// What of the settings matters.
+    pub policy: &'a Policy,
+    /// The time.
+    pub now: Instant,
+}
+
 /// Which attempt a start belongs to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Under {
@@ -162,6 +173,11 @@
 
 /// One round.
 pub fn round(cluster: &Cluster, policy: &Policy, now: Instant) -> Decisions {
+    let view = View {
+        cluster,
+        policy,
+        now,
+    };
     let mut decisions = Decisions::default();
     let mut rooms = Rooms::of(cluster, now);
     let mut used: HashMap<String, Amount> = cluster
@@ -192,17 +208,15 @@
         }
         let sum = used.entry(job.spec.team.clone()).or_default();
         if job.gang() {
-            step_gang(cluster, policy, entry, sum, &mut rooms, &mut decisions, now);
+            step_gang(view, entry, sum, &mut rooms, &mut decisions);
         } else {
             step_array(
-                cluster,
-                policy,
+                view,
                 entry,
                 sum,
                 &mut rooms,
                 &mut departures,
                 &mut decisions,
-                now,
             );
         }
         let short = decisions.short.last().filter(|s| s.spec.id == *id);
@@ -217,14 +231,17 @@
 
 /// A gang: whole, repaired, or not at all.
 fn step_gang(
-    cluster: &Cluster,
-    policy: &Policy,
+    view: View,
     entry: &order::Entry,
     used: &mut Amount,
     rooms: &mut Rooms,
     decisions: &mut Decisions,
-    now: Instant,
 ) {
+    let View {
+        cluster,
+        policy,
+        now,
+    } = view;
     let job = entry.job;
     let id = &job.spec.id;
     let placed = job.places.len() as u32;
@@ -252,7 +269,7 @@
         return;
     }
     let before = rooms.clone();
-    let found = allocate::gang(cluster, policy, job, &missing, rooms, now);
+    let found = allocate::gang(view, job, &missing, rooms);
     // Ready when the allocated members reach the minimum, or with those that succeeded.
     if found.members.len() as u32 + placed + job.done.len() >= job.spec.minimum() {
         *used = wanted;
@@ -280,17 +297,15 @@
 }
 
 /// An array: every task is a gang of one.
-#[allow(clippy::too_many_arguments)]
 fn step_array(
-    cluster: &Cluster,
-    policy: &Policy,
+    view: View,
     entry: &order::Entry,
     used: &mut Amount,
     rooms: &mut Rooms,
     departures: &mut Departures,
     decisions: &mut Decisions,
-    now: Instant,
 ) {
+    let policy = view.policy;
     let job = entry.job;
     let id = &job.spec.id;
     let missing: Vec<u32> = job.pending().take(MOST_STARTS_A_JOB).collect();
@@ -310,15 +325,7 @@
         decisions.waits.push((id.clone(), "its team's limit"));
         return;
     }
-    let found = allocate::array(
-        cluster,
-        policy,
-        job,
-        &missing[..allowed],
-        rooms,
-        departures,
-        now,
-    );
+    let found = allocate::array(view, job, &missing[..allowed], rooms, departures);
     let placed = found.members.len();
     used.add(&job.spec.need.times(placed as u32));
     for member in found.members {
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -5,7 +5,7 @@
 
 use super::allocate::{Departures, Rooms};
 use super::order::Entry;
-use super::{Decisions, Halt, Policy};
+use super::{Decisions, Halt, Policy, View};
 use crate::cluster::{build_named, Cluster, Drain, Job, Machine, Phase, Slot, SlotId};
 use crate::model::{Amount, JobId, MachineId, TaskId};
 
@@ -79,6 +79,11 @@
     decisions: &mut Decisions,
     now: Instant,
 ) {
+    let view = View {
+        cluster,
+        policy,
+        now,
+    };
     if wanting.is_empty() {
         return;
     }
@@ -121,9 +126,7 @@
                 .filter(|m| claimant.job.spec.allows(&m.build, &m.zone, m.spot))
                 .filter_map(|machine| {
                     let promised = promised.get(&machine.id).copied().unwrap_or_default();
-                    let victims = victims_on(
-                        cluster, policy, &used, claimant, machine, promised, &taken, now,
-                    )?;
+                    let victims = victims_on(view, &used, claimant, machine, promised, &taken)?;
                     Some((victims, machine))
                 })
                 .min_by(|a, b| a.0 .0.total_cmp(&b.0 .0));
@@ -151,17 +154,19 @@
 
 /// The cheapest victims on one machine that make room for one task; none where there is room
 /// already or stops under way make it.
-#[allow(clippy::too_many_arguments)]
 fn victims_on(
-    cluster: &Cluster,
-    policy: &Policy,
+    view: View,
     used: &HashMap<&str, Amount>,
     claimant: &Entry,
     machine: &Machine,
     promised: Amount,
     taken: &HashSet<(MachineId, SlotId)>,
-    now: Instant,
 ) -> Option<(f64, Vec<SlotId>)> {
+    let View {
+        cluster,
+        policy,
+        now,
+    } = view;
     let build = build_named(cluster.catalog(), &machine.build)?;
     let need = &claimant.job.spec.need;
     let mut free = build.room;
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Change, Condition, Follow, Group, Outcome, Page, StoreError};
+use crate::http::{Ask, Remote};
 use crate::wire;
 
 /// No answer by then means an unknown outcome. The service answers within a few hundred
@@ -22,8 +23,7 @@
 /// The client.
 #[derive(Clone)]
 pub struct StoreClient {
-    base: String,
-    http: Client,
+    remote: Remote,
 }
 
 #[derive(Serialize)]
@@ -56,8 +56,7 @@
     /// A client of the service at `address`.
     pub fn new(address: SocketAddrV4, http: Client) -> Self {
         Self {
-            base: format!("http://{address}"),
-            http,
+            remote: Remote::new(address, http, LARGEST),
         }
     }
 
@@ -68,22 +67,13 @@
         body: Option<Vec<u8>>,
         limit: Duration,
     ) -> Result<(u16, Vec<u8>), StoreError> {
-        let request = self
-            .http
-            .request(method, format!("{}{path}", self.base))
-            .timeout(limit);
-        let sent = match body {
-            Some(body) => request.content_type(wire::CBOR).send_body(body),
-            None => request.send(),
+        let ask = Ask {
+            method,
+            path,
+            body,
+            limit,
         };
-        let mut answer = sent.await.map_err(|_| StoreError::Unknown)?;
-        let status = answer.status().as_u16();
-        let body = answer
-            .body()
-            .limit(LARGEST)
-            .await
-            .map_err(|_| StoreError::Unknown)?;
-        Ok((status, body.to_vec()))
+        self.remote.ask(ask).await.ok_or(StoreError::Unknown)
     }
 
     fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -342,6 +342,19 @@
     }
 }
 
+/// A gang of two that runs on the first two of three machines.
+fn running_gang() -> Scene {
+    let mut s = Scene::new();
+    s.machines(&["m-c1n", "m-c2n", "m-c3n"]);
+    s.submit(gang("wk-000001", 2));
+    s.round();
+    s.report("m-c1n", &[]);
+    s.report("m-c2n", &[]);
+    s.report("m-c1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
+    s.report("m-c2n", &[("wk-000001/1", FIRST, RUNNING, None)]);
+    s
+}
+
 fn accepted(spec: &JobSpec, started: bool) -> Vec<(String, knotlanding::store::Value)> {
     let submitted = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let job = JobRecord {
@@ -544,14 +557,7 @@
 
 #[test]
 fn a_gang_that_lost_a_running_member_stops_and_starts_anew() {
-    let mut s = Scene::new();
-    s.machines(&["m-c1n", "m-c2n", "m-c3n"]);
-    s.submit(gang("wk-000001", 2));
-    s.round();
-    s.report("m-c1n", &[]);
-    s.report("m-c2n", &[]);
-    s.report("m-c1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
-    s.report("m-c2n", &[("wk-000001/1", FIRST, RUNNING, None)]);
+    let mut s = running_gang();
     s.round();
     s.note("one machine is returned; the other member is told to stop with time to save");
     s.cluster.machine_gone(&MachineId("m-c2n".into()));
@@ -589,14 +595,7 @@
 
 #[test]
 fn members_that_succeeded_count_toward_the_minimum() {
-    let mut s = Scene::new();
-    s.machines(&["m-c1n", "m-c2n", "m-c3n"]);
-    s.submit(gang("wk-000001", 2));
-    s.round();
-    s.report("m-c1n", &[]);
-    s.report("m-c2n", &[]);
-    s.report("m-c1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
-    s.report("m-c2n", &[("wk-000001/1", FIRST, RUNNING, None)]);
+    let mut s = running_gang();
     s.report(
         "m-c1n",
         &[("wk-000001/0", FIRST, EXITED, Some(Cause::Done))],
