--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -31,6 +31,8 @@
 /// Part of the fleet that must be heard from before silence of the rest is believed: when
 /// nobody is heard, it is more likely us.
 const HEARD_PART: f64 = 0.5;
+/// Machines of a zone that must be silent before the zone may count as cut off.
+const LEAST_CUT: usize = 3;
 /// Standard deviations above the mean of what may arrive while a machine boots.
 const SPARE_DEVIATIONS: f64 = 3.0;
 /// The same for machines that serve only classes which can wait for a boot.
@@ -172,6 +174,21 @@
     actions
 }
 
+/// Zones most of whose machines are silent at once.
+fn silent_zones<'a>(up: &[&'a Machine], quiet: Duration, now: Instant) -> HashSet<&'a str> {
+    let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
+    for machine in up {
+        let (all, silent) = zones.entry(machine.zone.as_str()).or_default();
+        *all += 1;
+        *silent += usize::from(machine.silent(now, quiet));
+    }
+    zones
+        .into_iter()
+        .filter(|(_, (all, silent))| *silent >= LEAST_CUT && *silent * 2 > *all)
+        .map(|(zone, _)| zone)
+        .collect()
+}
+
 /// Machines to be given up whatever the demand.
 fn lost_machines(cluster: &Cluster, now: Instant) -> Vec<(MachineId, &'static str)> {
     let up: Vec<&Machine> = cluster
@@ -183,6 +200,7 @@
     let heard = up.iter().filter(|m| !m.silent(now, quiet)).count();
     let we_hear = !up.is_empty() && heard as f64 >= up.len() as f64 * HEARD_PART;
     let since_take_over = now.saturating_duration_since(cluster.since);
+    let cut_off = silent_zones(&up, quiet, now);
     let mut lost = Vec::new();
     for machine in cluster.machines.values().filter(|m| !m.returning) {
         let id = machine.id.clone();
@@ -197,6 +215,13 @@
         let why = if machine.listed == Listed::Failed {
             Some("it failed")
         } else if machine.reported.is_some() {
+            // A zone that falls silent as a whole is more likely cut off than dead: its work
+            // goes on for a lease, and its machines need not boot again.
+            let limit = if cut_off.contains(machine.zone.as_str()) {
+                limit.max(cluster.timing.lease * 2)
+            } else {
+                limit
+            };
             let drained = machine.drain.is_some() && !machine.busy();
             let by_operator = machine.drain == Some(Drain::Operator);
             if machine.silent(now, limit) {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -796,6 +796,25 @@
     insta::assert_snapshot!(s.log);
 }
 
+#[test]
+fn a_zone_that_falls_silent_as_a_whole_keeps_its_machines_for_a_while() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2n", "m-g3n", "m-g4s", "m-g5s", "m-g6s"]);
+    s.pass(15.0);
+    for machine in ["m-g1n", "m-g2n", "m-g3n"] {
+        s.report(machine, &[]);
+    }
+    let decisions = s.round();
+    s.note("all of the south is silent: cut off, most likely");
+    s.fleet(&decisions);
+    s.report("m-g4s", &[]);
+    s.report("m-g5s", &[]);
+    let decisions = s.round();
+    s.note("one of the south alone is silent");
+    s.fleet(&decisions);
+    insta::assert_snapshot!(s.log);
+}
+
 #[test]
 fn done_tasks_of_an_earlier_term_never_run_again() {
     let mut records = accepted(&array("wk-000001", 3), true);
