--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -799,16 +799,27 @@
 #[test]
 fn a_zone_that_falls_silent_as_a_whole_keeps_its_machines_for_a_while() {
     let mut s = Scene::new();
-    s.machines(&["m-g1n", "m-g2n", "m-g3n", "m-g4s", "m-g5s", "m-g6s"]);
+    let mut job = array("wk-000001", 6);
+    job.team = "blue".to_owned();
+    s.submit(job);
+    let names = ["m-g1n", "m-g2n", "m-g3n", "m-g4s", "m-g5s", "m-g6s"];
+    let tasks: Vec<String> = (0..6).map(|i| format!("wk-000001/{i}")).collect();
+    let works = |s: &mut Scene, at: usize| {
+        s.report(names[at], &[(&tasks[at], 1, RUNNING, None)]);
+    };
+    for at in 0..6 {
+        works(&mut s, at);
+    }
     s.pass(15.0);
-    for machine in ["m-g1n", "m-g2n", "m-g3n"] {
-        s.report(machine, &[]);
+    for at in 0..3 {
+        works(&mut s, at);
     }
     let decisions = s.round();
-    s.note("all of the south is silent: cut off, most likely");
+    s.note("all of the south is silent, cut off most likely: nothing is returned");
     s.fleet(&decisions);
-    s.report("m-g4s", &[]);
-    s.report("m-g5s", &[]);
+    for at in 3..5 {
+        works(&mut s, at);
+    }
     let decisions = s.round();
     s.note("one of the south alone is silent");
     s.fleet(&decisions);
