Users' connections are closed after their answer when sockets run short

Cause (by reading): users who keep their connections open could fill the public address's limit, and workers would find no room to report. Guarded by a test with a crowd.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -5,11 +5,16 @@
 pub mod users;
 pub mod workers;
 
+use actix_web::body::MessageBody;
+use actix_web::dev::{ServiceRequest, ServiceResponse};
 use actix_web::http::header::{self, HeaderValue};
+use actix_web::http::ConnectionType;
 use actix_web::http::StatusCode;
+use actix_web::middleware::{from_fn, Next};
 use actix_web::{web, HttpResponse};
 use serde::Serialize;
 
+use crate::service::Shared;
 use crate::wire::{self, Problem};
 
 /// Seconds after which a refused request may come again.
@@ -37,13 +42,31 @@
     answer
 }
 
+/// Closes a user's connection after its answer when connections run short.
+async fn make_room(
+    request: ServiceRequest,
+    next: Next<impl MessageBody>,
+) -> Result<ServiceResponse<impl MessageBody>, actix_web::Error> {
+    let shared = request.app_data::<web::Data<Shared>>().cloned();
+    let mut answer = next.call(request).await?;
+    if shared.is_some_and(|shared| shared.crowded()) {
+        let head = answer.response_mut().head_mut();
+        head.set_connection_type(ConnectionType::Close);
+    }
+    Ok(answer)
+}
+
 /// The routes on the public address.
 pub fn public(config: &mut web::ServiceConfig) {
     config
         .app_data(web::PayloadConfig::new(wire::BODY_LIMIT))
         .route("/hello", web::post().to(workers::hello))
         .route("/up", web::get().to(users::up))
-        .route("/api/jobs", web::post().to(users::submit))
-        .route("/api/jobs/{id}", web::get().to(users::poll))
-        .route("/api/jobs/{id}/abort", web::post().to(users::abort));
+        .service(
+            web::scope("/api/jobs")
+                .wrap(from_fn(make_room))
+                .route("", web::post().to(users::submit))
+                .route("/{id}", web::get().to(users::poll))
+                .route("/{id}/abort", web::post().to(users::abort)),
+        );
 }
--- a/src/run.rs
+++ b/src/run.rs
@@ -14,16 +14,15 @@
 use crate::actors::round::{RoundActor, Shortages};
 use crate::config::Settings;
 use crate::fleet::client::CloudClient;
-use crate::service::Shared;
+use crate::service::{OpenConnection, Shared};
 use crate::store::actor::StoreActor;
 use crate::store::client::StoreClient;
 use crate::{api, peer};
 
-/// Part of the sockets that users' and workers' connections may take; the rest is for our
-/// own to the state service, the cloud, the workers and the peers.
-const PUBLIC_PART: f64 = 0.7;
 /// Part of the sockets for peers and operators.
 const PEER_PART: f64 = 0.05;
+/// Part of the sockets for our own connections to any one place.
+const OWN_PART: f64 = 0.12;
 /// Idle connections stay open for that long: longer than any interval of reports or polls.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// A connection that has not come about by then won't.
@@ -45,14 +44,14 @@
 /// Serves until the process is ended.
 pub async fn serve(settings: Settings) -> io::Result<()> {
     let sockets = settings.params.resources.max_sockets as f64;
-    let public_limit = (sockets * PUBLIC_PART).max(1.0) as usize;
     let peer_limit = (sockets * PEER_PART).max(8.0) as usize;
-    let own_limit = (sockets * (1.0 - PUBLIC_PART - PEER_PART) / 2.0).max(8.0) as usize;
+    let own_limit = (sockets * OWN_PART).max(8.0) as usize;
     let (public_addr, peer_bind) = (settings.public_addr, settings.peer_bind);
     let external = settings.external.clone();
     let member = settings.member.clone();
 
     let shared = Shared::new(settings);
+    let public_limit = shared.public_limit();
     let http = http_client(own_limit);
     let client = StoreClient::new(external.state, http.clone());
     let store = StoreActor::new(client.clone(), shared.clone()).start();
@@ -60,12 +59,16 @@
 
     let data: web::Data<Shared> = web::Data::from(shared.clone());
     let to_store = web::Data::new(store.clone());
+    let open = shared.connections.clone();
     let public = HttpServer::new(move || {
         App::new()
             .app_data(data.clone())
             .app_data(to_store.clone())
             .configure(api::public)
     })
+    .on_connect(move |_, extensions| {
+        extensions.insert(OpenConnection::new(open.clone()));
+    })
     .workers(1)
     .max_connections(public_limit)
     .backlog(BACKLOG)
--- a/src/service.rs
+++ b/src/service.rs
@@ -4,6 +4,7 @@
 //! an await, and nothing is sent, written or encoded under them.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -105,6 +106,23 @@
     }
 }
 
+/// Counts a connection for as long as it is open.
+pub struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    /// One more.
+    pub fn new(count: Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Everything shared.
 pub struct Shared {
     /// The platform's settings.
@@ -131,6 +149,8 @@
     pub peer_contact: Shelf<Option<Instant>>,
     /// Operators' settings in force.
     pub operator: Shelf<OperatorSettings>,
+    /// Connections open on the public address.
+    pub connections: Arc<AtomicUsize>,
     /// Figures.
     pub metrics: Shelf<Metrics>,
     /// Wakes the round.
@@ -139,6 +159,12 @@
     pub wake_leader: Notify,
 }
 
+/// Part of the sockets that users' and workers' connections may take; the rest is for our
+/// own to the state service, the cloud, the workers and the peers.
+const PUBLIC_PART: f64 = 0.7;
+/// Part of those at which users' connections are closed after each answer: beyond the limit
+/// none is accepted, and workers must not be shut out by users who keep theirs open.
+const CROWDED_PART: f64 = 0.6;
 /// A node whose contact is older than this while another node's is not can take no requests.
 const CONTACT_LOST: Duration = Duration::from_secs(4);
 
@@ -157,6 +183,7 @@
             contact: Shelf::default(),
             peer_contact: Shelf::default(),
             operator: Shelf::default(),
+            connections: Arc::default(),
             metrics: Shelf::default(),
             wake_round: Notify::new(),
             wake_leader: Notify::new(),
@@ -190,6 +217,18 @@
         (loaded && !failing) || !peer_fine
     }
 
+    /// Most connections taken on the public address.
+    pub fn public_limit(&self) -> usize {
+        let sockets = self.settings.params.resources.max_sockets as f64;
+        (sockets * PUBLIC_PART).max(1.0) as usize
+    }
+
+    /// Whether connections run short, so that users' must not be kept open.
+    pub fn crowded(&self) -> bool {
+        let open = self.connections.load(Ordering::Relaxed);
+        open as f64 > self.public_limit() as f64 * CROWDED_PART
+    }
+
     /// Passes on what the watch brought.
     pub fn tell(&self, news: &[News]) {
         let (now, wall) = (Instant::now(), SystemTime::now());
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -4,6 +4,8 @@
 #[path = "common/standins.rs"]
 mod standins;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
@@ -309,6 +311,51 @@
     assert_eq!(node.admin("PUT", "settings", &again).await.0, 503);
 }
 
+/// What a poll is answered, headers included, on a connection of its own.
+async fn raw_poll(address: String) -> String {
+    let asked = actix_web::web::block(move || {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+        stream.write_all(b"GET /api/jobs/wk-000041 HTTP/1.1\r\nhost: x\r\n\r\n")?;
+        let mut bytes = [0; 1024];
+        let read = stream.read(&mut bytes)?;
+        std::io::Result::Ok(String::from_utf8_lossy(&bytes[..read]).to_lowercase())
+    });
+    asked.await.unwrap().unwrap()
+}
+
+#[actix_web::test]
+async fn users_who_keep_connections_open_leave_room_for_workers() {
+    let bench = Bench::new("crowd");
+    let node = bench.start();
+    node.accept(&job("wk-000040", "array", 1, 4.0)).await;
+    assert!(!raw_poll(bench.public.clone())
+        .await
+        .contains("connection: close"));
+    // Of 500 sockets 350 are for users and workers; 210 of them make a crowd.
+    let crowd: Vec<TcpStream> = (0..260)
+        .map(|_| TcpStream::connect(&bench.public).unwrap())
+        .collect();
+    let began = Instant::now();
+    while !raw_poll(bench.public.clone())
+        .await
+        .contains("connection: close")
+    {
+        assert!(began.elapsed() < PATIENCE, "the crowd is not noticed");
+    }
+    node.accept(&job("wk-000042", "array", 1, 4.0)).await;
+    node.until("wk-000042", "done").await;
+    drop(crowd);
+    let began = Instant::now();
+    while raw_poll(bench.public.clone())
+        .await
+        .contains("connection: close")
+    {
+        assert!(began.elapsed() < PATIENCE, "the crowd is not forgotten");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 fn run(arguments: &[&str]) -> Output {
     Command::new(PROGRAM).args(arguments).output().unwrap()
 }
