A result left on a machine is the bell that brings its next report at once

Now up to two safe results stay on a machine; clearing one through /orders changes its tasks, so the worker reports at once and takes the start. Ruled out: starts on /orders (nothing bounds their lateness).

--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -122,6 +122,11 @@
     pub newest: (u64, u64),
     /// It has reported our term: no older leader can command it any more.
     pub fenced: bool,
+    /// It has never seen any term and holds nothing: a start may be planned for it, and is
+    /// sent once it is fenced.
+    pub fresh: bool,
+    /// When it was last made to report at once.
+    pub rung: Option<Instant>,
     /// When the newest report arrived.
     pub reported: Option<Instant>,
     /// When we last answered 200; its lease can't end before that plus the lease's time.
@@ -178,6 +183,8 @@
             rented: now,
             newest: (0, 0),
             fenced: false,
+            fresh: false,
+            rung: None,
             reported: None,
             answered: None,
             leaves: None,
@@ -231,7 +238,7 @@
 
     /// Whether it may get new tasks.
     pub fn takes_tasks(&self, now: Instant, silence: Duration) -> bool {
-        self.fenced
+        (self.fenced || self.fresh)
             && self.drain.is_none()
             && !self.returning
             && self.leaves.is_none()
@@ -240,6 +247,11 @@
             && !self.murky()
     }
 
+    /// Whether starts may be sent to it now, in the answer to a report.
+    pub fn can_start(&self, now: Instant, silence: Duration) -> bool {
+        self.fenced && self.rostered == Durable::Yes && self.takes_tasks(now, silence)
+    }
+
     /// Whether it has the image, as far as we know.
     pub fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|(name, _)| name == image)
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -40,6 +40,9 @@
 /// A stop is repeated in reports' answers; straight to the machine only after this long.
 const REPEAT_STOP: Duration = Duration::from_secs(2);
 
+/// A machine that was made to report is not asked again sooner.
+const RING_AGAIN: Duration = Duration::from_secs(2);
+
 /// The workers' timing as durations.
 #[derive(Clone, Debug)]
 pub struct Timing {
@@ -512,9 +515,12 @@
             .retain(|(at, _)| recent.is_none_or(|recent| *at >= recent));
     }
 
-    /// Machines with stops to be sent straight away, with those stops.
+    /// Machines with commands to be sent straight away, with those commands: stops, and the
+    /// clearing of a result where a start waits for the next report, since a worker reports at
+    /// once when its tasks change. A start itself never goes this way.
     pub fn direct_orders(&mut self, now: Instant) -> Vec<(MachineId, String, u64, Vec<Order>)> {
         let mut all = Vec::new();
+        let quiet = self.timing.quiet;
         for machine in self.machines.values_mut() {
             if machine.address.is_empty() || !machine.fenced {
                 continue;
@@ -525,6 +531,9 @@
                     orders.push(order);
                 }
             }
+            if orders.is_empty() {
+                orders.extend(ring(machine, &self.jobs, now, quiet));
+            }
             if !orders.is_empty() {
                 all.push((
                     machine.id.clone(),
@@ -575,6 +584,40 @@
 /// How long submissions are remembered for the expected demand.
 const ARRIVALS_KEPT: Duration = Duration::from_secs(180);
 
+/// The clearing that makes a machine report at once, if a start waits for its report.
+fn ring(
+    machine: &mut Machine,
+    jobs: &BTreeMap<JobId, Job>,
+    now: Instant,
+    quiet: Duration,
+) -> Option<Order> {
+    let recent = machine
+        .rung
+        .is_some_and(|at| now.saturating_duration_since(at) < RING_AGAIN);
+    if recent || !machine.can_start(now, quiet) {
+        return None;
+    }
+    let job_of = |slot: &SlotId| jobs.get(&slot.task.job);
+    let mut slots = machine.slots.iter();
+    slots.find(|(slot, state)| {
+        state.phase == Phase::Planned
+            && job_of(slot).is_some_and(|job| job.open() && job.started == Durable::Yes)
+    })?;
+    let mut slots = machine.slots.iter();
+    let (bell, _) = slots.find(|(slot, state)| {
+        state.phase == Phase::Exited(crate::wire::Cause::Done)
+            && job_of(slot).is_none_or(|job| {
+                job.verdict != Verdict::Accepted || job.done.is_durable(slot.task.index)
+            })
+    })?;
+    let order = Order::Clear {
+        task: bell.task.to_string(),
+        attempt: bell.attempt.0,
+    };
+    machine.rung = Some(now);
+    Some(order)
+}
+
 /// The stop to send for a slot now, if one is due.
 fn stop_order(id: &SlotId, slot: &mut Slot, now: Instant) -> Option<Order> {
     let sent = slot.sent() && slot.occupies();
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -29,6 +29,9 @@
 /// How long a task waits after a refused start, until the picture is right again.
 const REST_AFTER_REFUSAL_S: f64 = 3.0;
 
+/// Results left on a machine so that clearing one makes it report at once.
+const MOST_BELLS: usize = 2;
+
 /// A report whose (session, number) was compared with what we have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verified {
@@ -80,7 +83,17 @@
         machine.leaves = leaves;
         machine.fenced = report.token == self.term.0;
         let fenced = machine.fenced;
+        let was_fresh = machine.fresh;
+        machine.fresh = report.token == 0 && report.tasks.is_empty();
         let was_busy = machine.busy();
+        if was_fresh && !report.tasks.is_empty() {
+            // What made it look fresh was a late copy: its room is not what it seemed.
+            let plans = machine.slots.iter().filter(|(_, state)| !state.sent());
+            let plans: Vec<SlotId> = plans.map(|(slot, _)| slot.clone()).collect();
+            for slot in plans {
+                self.drop_slot(&id, &slot);
+            }
+        }
 
         let mut listed = Vec::with_capacity(report.tasks.len());
         for reported in &report.tasks {
@@ -341,8 +354,8 @@
         };
         machine.answered = Some(now);
         let (session, seq) = machine.newest;
-        let can_start =
-            machine.takes_tasks(now, self.timing.quiet) && machine.rostered == Durable::Yes;
+        let can_start = machine.can_start(now, self.timing.quiet);
+        let mut bells = 0;
         for (slot, state) in &mut machine.slots {
             let job = self.jobs.get(&slot.task.job);
             if let Phase::Exited(cause) = state.phase {
@@ -350,7 +363,10 @@
                     && job.is_some_and(|job| {
                         job.verdict == Verdict::Accepted && !job.done.is_durable(slot.task.index)
                     });
-                if !keep {
+                // A result that is safe may stay: it is the bell that brings a report at once.
+                let bell = cause == Cause::Done && bells < MOST_BELLS;
+                bells += usize::from(bell && !keep);
+                if !keep && !bell {
                     orders.push(Order::Clear {
                         task: slot.task.to_string(),
                         attempt: slot.attempt.0,
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -840,3 +840,42 @@
     s.note("tasks 0 and 2 are on record as done: only 1 starts");
     insta::assert_snapshot!(s.log);
 }
+
+#[test]
+fn a_result_left_on_a_machine_is_the_bell_that_brings_the_next_start_at_once() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.report("m-g1n", &[]);
+    let done = ("wk-000001/0", FIRST, EXITED, Some(Cause::Done));
+    s.report("m-g1n", &[done]);
+    s.round();
+    s.note("the result is safe and stays on the machine");
+    s.report("m-g1n", &[done]);
+    s.submit(array("wk-000002", 1));
+    s.round();
+    s.note("started flag written: now the bell may ring, but once only");
+    s.round();
+    s.round();
+    s.report("m-g1n", &[]);
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_machine_new_to_all_is_planned_for_at_once_but_started_on_only_when_fenced() {
+    let mut s = Scene::new();
+    s.submit(array("wk-000001", 1));
+    s.report_as("m-g1n", (1, 1, 0), &[], true);
+    s.round();
+    s.note("its first report; the start waits until it knows our term");
+    s.report_as("m-g1n", (1, 2, 1), &[], true);
+    s.note("a late copy of an early report hides what is on the machine");
+    s.submit(array("wk-000002", 1));
+    s.report_as("m-g2n", (1, 1, 0), &[], true);
+    s.round();
+    let other = ("wk-000009/0", 5, RUNNING, None);
+    s.report_as("m-g2n", (1, 9, 0), &[other], true);
+    s.report_as("m-g2n", (1, 10, 1), &[other], true);
+    insta::assert_snapshot!(s.log);
+}
