--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -9,7 +9,7 @@
 use super::round::Shortages;
 use crate::cluster::{Catalog, Machine};
 use crate::fleet::client::{CloudClient, CloudError};
-use crate::fleet::{self, Action, Market, Offer};
+use crate::fleet::{self, Action, Market, Offer, MOST_A_HIRE};
 use crate::model::{MachineId, Term};
 use crate::service::Shared;
 use crate::store::limiter::Bucket;
@@ -25,6 +25,19 @@
 /// for this long.
 const SETTLE: Duration = Duration::from_secs(5);
 
+/// Time until the next look where less was to be had than was wanted.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+
+/// What a rental brought.
+enum Hired {
+    /// All that was asked for.
+    All,
+    /// Less.
+    Fewer,
+    /// Nothing that is known.
+    Unknown,
+}
+
 /// The actor.
 pub struct FleetActor {
     shared: Arc<Shared>,
@@ -85,8 +98,9 @@
 impl Fleet {
     async fn run(mut self) {
         loop {
-            self.look().await;
-            actix::clock::sleep(LOOK_EVERY).await;
+            let more = self.look().await;
+            let pause = if more { LOOK_AGAIN } else { LOOK_EVERY };
+            actix::clock::sleep(pause).await;
         }
     }
 
@@ -106,7 +120,9 @@
         self.calls.take(1.0, Instant::now());
     }
 
-    async fn look(&mut self) {
+    /// One look; whether the next one should follow at once, since what was wanted has to be
+    /// rented elsewhere.
+    async fn look(&mut self) -> bool {
         let leading = self.shared.role.lock().leading(Instant::now());
         let known = self.shared.catalog.lock().is_some();
         // Followers need the types too, to tell which jobs can never run, but not the prices.
@@ -117,7 +133,7 @@
         let Some(lead) = leading else {
             self.unanswered.clear();
             self.unreturned.clear();
-            return;
+            return false;
         };
         if lead.term != self.term {
             self.term = lead.term;
@@ -135,26 +151,41 @@
         for (ids, why) in std::mem::take(&mut self.unreturned) {
             self.give_back(ids, why).await;
         }
+        let mut more = false;
         for action in self.plan() {
             if self.shared.role.lock().leading(Instant::now()).is_none() {
-                return;
+                return false;
             }
             match action {
-                Action::Rent(offer, count) => {
-                    self.hires += 1;
-                    let hire = HireBody {
-                        // A term has one leader, and a leader counts its rentals.
-                        request: format!("kl-{}-{}", self.term.0, self.hires),
-                        build: offer.build.clone(),
-                        zone: offer.zone.clone(),
-                        spot: offer.spot,
-                        count,
-                    };
-                    self.hire(hire, offer).await;
-                }
+                Action::Rent(offer, count) => more |= self.rent(offer, count).await,
                 Action::Return(ids, why) => self.give_back(ids, why).await,
             }
         }
+        more
+    }
+
+    /// Rents, in as many requests as it takes while they are filled; whether there was less
+    /// to be had.
+    async fn rent(&mut self, offer: Offer, count: u32) -> bool {
+        let mut left = count;
+        while left > 0 && self.shared.role.lock().leading(Instant::now()).is_some() {
+            self.hires += 1;
+            let hire = HireBody {
+                // A term has one leader, and a leader counts its rentals.
+                request: format!("kl-{}-{}", self.term.0, self.hires),
+                build: offer.build.clone(),
+                zone: offer.zone.clone(),
+                spot: offer.spot,
+                count: left.min(MOST_A_HIRE),
+            };
+            left -= hire.count;
+            match self.hire(hire, offer.clone()).await {
+                Hired::All => {}
+                Hired::Fewer => return true,
+                Hired::Unknown => return false,
+            }
+        }
+        false
     }
 
     async fn read_catalog(&mut self) {
@@ -213,7 +244,7 @@
         actions
     }
 
-    async fn hire(&mut self, hire: HireBody, offer: Offer) {
+    async fn hire(&mut self, hire: HireBody, offer: Offer) -> Hired {
         self.pace().await;
         let outcome = self.cloud.hire(&hire).await;
         let now = Instant::now();
@@ -221,23 +252,34 @@
             Ok(names) => {
                 info!(request = %hire.request, build = %hire.build, zone = %hire.zone,
                     spot = hire.spot, wanted = hire.count, got = names.len(), "rented");
-                if (names.len() as u32) < hire.count {
+                let fewer = (names.len() as u32) < hire.count;
+                if fewer {
                     self.market.exhausted(&offer, now);
                 }
                 self.shared.metrics.lock().rented += names.len() as u64;
                 if let Some(cluster) = self.shared.cluster.lock().as_mut() {
                     cluster.hired(&names, &offer, now);
                 }
+                if fewer {
+                    Hired::Fewer
+                } else {
+                    Hired::All
+                }
             }
             Err(CloudError::NoCapacity) => {
                 info!(build = %hire.build, zone = %hire.zone, spot = hire.spot, "no capacity");
                 self.market.exhausted(&offer, now);
+                Hired::Fewer
             }
             Err(CloudError::Unknown) => {
                 warn!(request = %hire.request, "no answer to a rental; it will be repeated");
                 self.unanswered.push((hire, offer));
+                Hired::Unknown
+            }
+            Err(error) => {
+                debug!(%error, "rental failed");
+                Hired::Unknown
             }
-            Err(error) => debug!(%error, "rental failed"),
         }
     }
 
--- a/src/actors/leader.rs
+++ b/src/actors/leader.rs
@@ -120,7 +120,7 @@
             now,
             SystemTime::now(),
         );
-        cluster.hint_images(self.shared.images.lock().clone());
+        cluster.hint(self.shared.told.lock().hints.clone());
         info!(
             term = record.term.0,
             jobs = cluster.jobs.len(),
--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -1,11 +1,14 @@
 //! Owner of what the nodes tell each other: the leader's digest.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix::prelude::*;
+use awc::http::StatusCode;
 use awc::Client;
 
+use crate::model::Term;
 use crate::peer::{self, Digest};
 use crate::service::Shared;
 
@@ -14,16 +17,37 @@
 /// A peer that takes longer misses one.
 const TELL_LIMIT: Duration = Duration::from_millis(900);
 
+/// A peer as far as digests go.
+struct Peer {
+    address: std::net::SocketAddrV4,
+    /// It said that it lacks what changes build on.
+    lacks: Arc<AtomicBool>,
+}
+
 /// The actor.
 pub struct PeersActor {
     shared: Arc<Shared>,
     http: Client,
+    peers: Vec<Peer>,
+    term: Term,
+    number: u64,
 }
 
 impl PeersActor {
     /// Tells the peers through `http`.
     pub fn new(shared: Arc<Shared>, http: Client) -> Self {
-        Self { shared, http }
+        let known = shared.settings.known.iter();
+        let peers = known.map(|peer| Peer {
+            address: peer.peer_addr,
+            lacks: Arc::default(),
+        });
+        Self {
+            peers: peers.collect(),
+            shared,
+            http,
+            term: Term(0),
+            number: 0,
+        }
     }
 }
 
@@ -31,49 +55,65 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        ctx.run_interval(TELL_EVERY, |actor, _| {
-            if let Some(digest) = actor.digest() {
-                actor.tell(&digest);
-            }
-        });
+        ctx.run_interval(TELL_EVERY, |actor, _| actor.tell());
     }
 }
 
 impl PeersActor {
-    /// What there is to tell; only a leader has anything.
-    fn digest(&self) -> Option<Digest> {
+    /// Tells what changed; all of it only to who lacks it. Only a leader has anything to tell.
+    fn tell(&mut self) {
         let now = Instant::now();
-        let lead = self.shared.role.lock().leading(now)?;
-        let (counts, images) = {
-            let guard = self.shared.cluster.lock();
-            let cluster = guard.as_ref()?;
-            (cluster.counts(), cluster.images())
-        };
-        Some(Digest {
-            term: lead.term,
-            member: self.shared.settings.member.clone(),
-            counts,
-            images,
-        })
-    }
-
-    fn tell(&self, digest: &Digest) {
-        let Some(body) = peer::encode(digest) else {
+        let Some(lead) = self.shared.role.lock().leading(now) else {
             return;
         };
-        for known in &self.shared.settings.known {
-            let sent = self
-                .http
-                .post(format!("http://{}{}", known.peer_addr, peer::DIGEST))
-                .timeout(TELL_LIMIT)
-                .content_type(peer::BINCODE)
-                .send_body(body.clone());
-            actix::spawn(async move {
-                if let Ok(mut answer) = sent.await {
-                    // Read to its end so that the connection can be used again.
-                    let _ = answer.body().await;
-                }
-            });
+        if lead.term != self.term {
+            self.term = lead.term;
+            self.number = 0;
         }
+        let lacking = |peer: &Peer| peer.lacks.load(Ordering::Relaxed);
+        let anyone_lacks = self.peers.iter().any(lacking);
+        let (changes, all) = {
+            let mut guard = self.shared.cluster.lock();
+            let Some(cluster) = guard.as_mut().filter(|c| c.term == lead.term) else {
+                return;
+            };
+            (cluster.news(), anyone_lacks.then(|| cluster.all_news()))
+        };
+        self.number += 1;
+        let digest = |news, full| {
+            peer::encode(&Digest {
+                term: lead.term,
+                member: self.shared.settings.member.clone(),
+                number: self.number,
+                full,
+                news,
+            })
+        };
+        let changes = digest(changes, false);
+        let all = all.and_then(|news| digest(news, true));
+        for peer in &self.peers {
+            let body = if lacking(peer) { &all } else { &changes };
+            if let Some(body) = body {
+                self.send(peer, body.clone());
+            }
+        }
+    }
+
+    fn send(&self, peer: &Peer, body: Vec<u8>) {
+        let sent = self
+            .http
+            .post(format!("http://{}{}", peer.address, peer::DIGEST))
+            .timeout(TELL_LIMIT)
+            .content_type(peer::BINCODE)
+            .send_body(body);
+        let lacks = peer.lacks.clone();
+        actix::spawn(async move {
+            // Without an answer nothing is known: the next digest of changes will tell.
+            if let Ok(mut answer) = sent.await {
+                lacks.store(answer.status() == StatusCode::CONFLICT, Ordering::Relaxed);
+                // Read to its end so that the connection can be used again.
+                let _ = answer.body().await;
+            }
+        });
     }
 }
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -1,7 +1,6 @@
 //! Users' requests. Any node answers them, whoever leads: verdicts are written to and read
 //! from the state service, and nothing else may be told as if it were one.
 
-use std::collections::HashMap;
 use std::time::{Duration, Instant, SystemTime};
 
 use actix::Addr;
@@ -62,8 +61,8 @@
     if let Some(cluster) = shared.cluster.lock().as_ref() {
         return cluster.count(id);
     }
-    let counts: &HashMap<JobId, (u32, u32)> = &shared.counts.lock();
-    counts.get(id).copied().unwrap_or((0, 0))
+    let told = shared.told.lock();
+    told.counts.get(id).copied().unwrap_or((0, 0))
 }
 
 /// What is known for good of a job, as of now: a final verdict never changes, everything
--- /dev/null
+++ b/src/cluster/intern.rs
@@ -0,0 +1,91 @@
+//! Names that come again with every machine and task, as small numbers: rounds compare and look
+//! them up by the thousand.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// An image.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ImageId(u32);
+
+/// Images met so far.
+#[derive(Clone, Debug, Default)]
+pub struct Images {
+    ids: HashMap<Arc<str>, ImageId>,
+    names: Vec<Arc<str>>,
+}
+
+impl Images {
+    /// An image's number.
+    pub fn id(&mut self, name: &str) -> ImageId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let id = ImageId(self.names.len() as u32);
+        let name: Arc<str> = name.into();
+        self.names.push(name.clone());
+        self.ids.insert(name, id);
+        id
+    }
+
+    /// An image's name.
+    pub fn name(&self, id: ImageId) -> &str {
+        self.names.get(id.0 as usize).map_or("", |name| name)
+    }
+}
+
+/// A type of machine in a zone, spot or ordinary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KindId(pub u16);
+
+/// What machines of a kind have in common.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kind {
+    /// Type.
+    pub build: String,
+    /// Zone.
+    pub zone: String,
+    /// Spot or ordinary.
+    pub spot: bool,
+}
+
+/// Kinds met so far: a handful, so that a look through all of them is the fastest.
+#[derive(Clone, Debug, Default)]
+pub struct Kinds(Vec<Kind>);
+
+impl Kinds {
+    /// A kind's number.
+    pub fn id(&mut self, build: &str, zone: &str, spot: bool) -> KindId {
+        let same = |k: &Kind| k.spot == spot && k.zone == zone && k.build == build;
+        if let Some(at) = self.0.iter().position(same) {
+            return KindId(at as u16);
+        }
+        self.0.push(Kind {
+            build: build.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+        });
+        KindId((self.0.len() - 1) as u16)
+    }
+
+    /// A kind.
+    pub fn get(&self, id: KindId) -> Option<&Kind> {
+        self.0.get(usize::from(id.0))
+    }
+
+    /// All kinds with their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = (KindId, &Kind)> {
+        let numbered = self.0.iter().enumerate();
+        numbered.map(|(at, kind)| (KindId(at as u16), kind))
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether none was met yet.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
--- a/src/cluster/job.rs
+++ b/src/cluster/job.rs
@@ -6,6 +6,7 @@
 
 use super::done::DoneSet;
 use super::machine::Durable;
+use super::ImageId;
 use crate::model::{Attempt, JobSpec, MachineId, Shape, Verdict};
 
 /// A place where a task may be.
@@ -22,6 +23,8 @@
 pub struct Job {
     /// What its user described.
     pub spec: Arc<JobSpec>,
+    /// Its image.
+    pub image: ImageId,
     /// When it was taken, on this process's steady clock.
     pub submitted: Instant,
     /// The same on the time of day, as recorded.
--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::{ImageId, KindId};
 use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId};
 use crate::wire::Cause;
 
@@ -63,6 +64,8 @@
     pub running_since: Option<Instant>,
     /// Whether it is to stop.
     pub stop: Option<Stop>,
+    /// The image it needs, if the job is known.
+    pub image: Option<ImageId>,
 }
 
 impl Slot {
@@ -77,6 +80,19 @@
     }
 }
 
+/// What a machine's slots add up to.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// What is taken.
+    pub taken: Amount,
+    /// Tasks that may be on it.
+    pub tasks: usize,
+    /// Something of unknown size is on it.
+    pub murky: bool,
+    /// A start is planned or a stop wanted.
+    pub restless: bool,
+}
+
 /// Whether a record is in the state service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Durable {
@@ -114,6 +130,8 @@
     pub zone: String,
     /// Spot or ordinary.
     pub spot: bool,
+    /// Type, zone and kind as one number, see [`super::Kinds`].
+    pub kind: Option<KindId>,
     /// When we first knew of it.
     pub since: Instant,
     /// When it was rented, as far as known.
@@ -137,8 +155,8 @@
     pub slots: BTreeMap<SlotId, Slot>,
     /// Whether the roster in the state service names it.
     pub rostered: Durable,
-    /// Images it has fetched, most recently used last.
-    pub images: Vec<(String, f64)>,
+    /// Images it has fetched with their sizes in GB, most recently used last.
+    pub images: Vec<(ImageId, f64)>,
     /// Takes no new tasks.
     pub drain: Option<Drain>,
     /// A return is under way.
@@ -151,6 +169,8 @@
     pub rests_until: Option<Instant>,
     /// Since when it has had nothing to do.
     pub idle_since: Instant,
+    /// What its slots add up to; see [`Machine::recount`].
+    load: Load,
     /// What the cloud's list said of it last.
     pub listed: Listed,
     /// Since when it has said so.
@@ -179,6 +199,7 @@
             build: String::new(),
             zone: String::new(),
             spot: false,
+            kind: None,
             since: now,
             rented: now,
             newest: (0, 0),
@@ -197,6 +218,7 @@
             paces: Vec::new(),
             rests_until: None,
             idle_since: now,
+            load: Load::default(),
             listed: Listed::No,
             listed_since: now,
         }
@@ -204,7 +226,7 @@
 
     /// Whether any task may be on it.
     pub fn busy(&self) -> bool {
-        self.slots.values().any(Slot::occupies)
+        self.load.tasks > 0
     }
 
     /// Whether it should be up but has not reported in this term.
@@ -215,19 +237,46 @@
 
     /// What is taken of it, starts not yet confirmed and stops not yet finished included.
     pub fn taken(&self) -> Amount {
-        let mut sum = Amount::default();
-        for slot in self.slots.values().filter(|slot| slot.occupies()) {
-            if let Some(spec) = &slot.spec {
-                sum.add(&spec.need);
-            }
-        }
-        sum
+        self.load.taken
     }
 
     /// Whether something is on it whose size nobody knows.
     pub fn murky(&self) -> bool {
-        let mut slots = self.slots.values();
-        slots.any(|slot| slot.occupies() && slot.spec.is_none())
+        self.load.murky
+    }
+
+    /// Whether commands are due to it, or a start waits for its report.
+    pub fn restless(&self) -> bool {
+        self.load.restless
+    }
+
+    /// Adds up its slots again. Rounds ask every machine for the sums, but only few machines'
+    /// slots change between two rounds.
+    pub fn recount(&mut self) {
+        self.load = self.counted();
+    }
+
+    /// The sums as its slots have them now.
+    pub fn counted(&self) -> Load {
+        let mut load = Load::default();
+        for slot in self.slots.values() {
+            let occupies = slot.occupies();
+            load.restless |= occupies && (!slot.sent() || slot.stop.is_some());
+            if !occupies {
+                continue;
+            }
+            load.tasks += 1;
+            match &slot.spec {
+                Some(spec) => load.taken.add(&spec.need),
+                None => load.murky = true,
+            }
+        }
+        load
+    }
+
+    /// The sums as they are kept.
+    pub fn load(&self) -> &Load {
+        &self.load
     }
 
     /// Whether it was up in this term and has been silent for longer than `limit`.
@@ -253,14 +302,14 @@
     }
 
     /// Whether it has the image, as far as we know.
-    pub fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|(name, _)| name == image)
+    pub fn has_image(&self, image: ImageId) -> bool {
+        self.images.iter().any(|(known, _)| *known == image)
     }
 
     /// Notes that it has just used an image.
-    pub fn used_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
-        self.images.retain(|(name, _)| name != image);
-        self.images.push((image.to_owned(), gb));
+    pub fn used_image(&mut self, image: ImageId, gb: f64, cache_gb: f64) {
+        self.images.retain(|(known, _)| *known != image);
+        self.images.push((image, gb));
         let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
         while total > cache_gb && self.images.len() > 1 {
             total -= self.images.remove(0).1;
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -5,7 +5,9 @@
 //! proofs: a report of a fenced machine without it, the cloud's confirmation that the machine
 //! is gone, or the end of the worker's lease while we lead and it was fenced by us.
 
+mod commands;
 pub mod done;
+mod intern;
 pub mod job;
 pub mod machine;
 mod records;
@@ -15,6 +17,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+pub use intern::{ImageId, Images, Kind, KindId, Kinds};
 pub use job::{Job, Place};
 pub use machine::{Drain, Durable, Listed, Machine, Phase, Slot, SlotId, Stop};
 pub use records::{RecordKind, RecordWrite};
@@ -22,10 +25,10 @@
 
 use crate::config::{secs, Settings};
 use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term, Verdict};
-use crate::peer::Images;
+use crate::peer::Hint;
 use crate::store::keys;
 use crate::store::replica::Replica;
-use crate::wire::{ListedMachine, Order};
+use crate::wire::ListedMachine;
 use done::DoneSet;
 
 /// Clocks of two machines may drift apart by this part.
@@ -37,12 +40,6 @@
 const QUIET_REPORTS: f64 = 2.5;
 /// Reports missed before a machine is given up and returned.
 const LOST_REPORTS: f64 = 3.0;
-/// A stop is repeated in reports' answers; straight to the machine only after this long.
-const REPEAT_STOP: Duration = Duration::from_secs(2);
-
-/// A machine that was made to report is not asked again sooner.
-const RING_AGAIN: Duration = Duration::from_secs(2);
-
 /// The workers' timing as durations.
 #[derive(Clone, Debug)]
 pub struct Timing {
@@ -104,7 +101,14 @@
     pub waits: Vec<Duration>,
     /// Submissions per class, for the expected demand.
     pub arrivals: Vec<(Instant, Arc<crate::model::JobSpec>)>,
-    hints: HashMap<MachineId, Images>,
+    /// Types, zones and kinds of machines met.
+    pub kinds: Kinds,
+    /// Images met.
+    pub images: Images,
+    /// Machines whose images changed and jobs whose counts may have, since the others were
+    /// last told.
+    changed: Changed,
+    hints: HashMap<MachineId, Hint>,
     /// Run times over estimates of the last tasks anywhere: what the owners' errors and the
     /// day's mood amount to.
     paces: VecDeque<f64>,
@@ -139,6 +143,9 @@
             dirty: true,
             waits: Vec::new(),
             arrivals: Vec::new(),
+            kinds: Kinds::default(),
+            images: Images::default(),
+            changed: Changed::default(),
             hints: HashMap::new(),
             paces: VecDeque::new(),
             departed: BTreeSet::new(),
@@ -161,17 +168,11 @@
         cluster
     }
 
-    /// Takes what an earlier leader told of the machines' images.
-    pub fn hint_images(&mut self, hints: HashMap<MachineId, Images>) {
+    /// Takes what an earlier leader told of the machines.
+    pub fn hint(&mut self, hints: HashMap<MachineId, Hint>) {
         self.hints = hints;
     }
 
-    /// The images of all machines, for a leader to come.
-    pub fn images(&self) -> Vec<(MachineId, Images)> {
-        let machines = self.machines.values().filter(|m| !m.images.is_empty());
-        machines.map(|m| (m.id.clone(), m.images.clone())).collect()
-    }
-
     /// Takes a new catalog.
     pub fn set_catalog(&mut self, catalog: Catalog) {
         self.catalog = catalog;
@@ -222,11 +223,14 @@
             done.mark_durable(chunk, &digits.bits);
         }
         let spec = Arc::new(record.spec.clone());
+        let image = self.images.id(&spec.image);
+        self.changed.jobs.insert(id.clone());
         if !taking_over {
             self.arrivals.push((now, spec.clone()));
         }
         let job = Job {
             spec,
+            image,
             submitted: now.checked_sub(age).unwrap_or(now),
             submitted_ms: record.submitted_ms,
             version: verdict.version,
@@ -257,11 +261,12 @@
             for chunk in 0..job.done.chunks() {
                 self.versions.remove(&keys::done(id, chunk));
             }
-            for machine in self.machines.values_mut() {
+            for machine in self.machines.values_mut().filter(|m| m.restless()) {
                 machine.slots.retain(|slot, state| {
                     // What was never sent needs no memory; the rest stays until it is gone.
                     slot.task.job != *id || state.sent()
                 });
+                machine.recount();
             }
         }
     }
@@ -315,12 +320,14 @@
             since: now,
             running_since: None,
             stop: None,
+            image: Some(job.image),
         };
         let id = SlotId {
             task: task.clone(),
             attempt,
         };
         host.slots.insert(id, slot);
+        host.recount();
     }
 
     /// Wants a task stopped. A start that was never sent is simply dropped.
@@ -354,6 +361,7 @@
                 })
             }
         }
+        host.recount();
         self.dirty = true;
     }
 
@@ -404,6 +412,7 @@
     fn drop_slot(&mut self, machine: &MachineId, slot: &SlotId) {
         if let Some(host) = self.machines.get_mut(machine) {
             host.slots.remove(slot);
+            host.recount();
         }
         self.leave(machine, slot);
     }
@@ -413,6 +422,7 @@
         let Some(job) = self.jobs.get_mut(&slot.task.job) else {
             return;
         };
+        self.changed.jobs.insert(slot.task.job.clone());
         if let Some(places) = job.places.get_mut(&slot.task.index) {
             places.retain(|p| p.machine != *machine || p.attempt != slot.attempt);
             if places.is_empty() {
@@ -457,6 +467,7 @@
             machine.build.clone_from(&offer.build);
             machine.zone.clone_from(&offer.zone);
             machine.spot = offer.spot;
+            machine.kind = Some(self.kinds.id(&offer.build, &offer.zone, offer.spot));
         }
     }
 
@@ -473,6 +484,10 @@
                 machine.build.clone_from(&entry.build);
                 machine.zone.clone_from(&entry.zone);
                 machine.spot = entry.spot;
+                machine.kind = Some(self.kinds.id(&entry.build, &entry.zone, entry.spot));
+                if machine.address.is_empty() {
+                    machine.address.clone_from(&entry.address);
+                }
                 let rented = now.checked_sub(secs(entry.age_s)).unwrap_or(now);
                 machine.rented = rented.min(machine.rented);
             }
@@ -499,6 +514,9 @@
                     .answered
                     .is_some_and(|at| now.saturating_duration_since(at) > lease);
             let silent = machine.silent(now, quiet);
+            if !(lease_over || silent) {
+                continue;
+            }
             for (slot, state) in &machine.slots {
                 // Silence frees a plan, since nothing was sent; a start needs proof.
                 let drop_plan = silent && !state.sent();
@@ -515,37 +533,6 @@
             .retain(|(at, _)| recent.is_none_or(|recent| *at >= recent));
     }
 
-    /// Machines with commands to be sent straight away, with those commands: stops, and the
-    /// clearing of a result where a start waits for the next report, since a worker reports at
-    /// once when its tasks change. A start itself never goes this way.
-    pub fn direct_orders(&mut self, now: Instant) -> Vec<(MachineId, String, u64, Vec<Order>)> {
-        let mut all = Vec::new();
-        let quiet = self.timing.quiet;
-        for machine in self.machines.values_mut() {
-            if machine.address.is_empty() || !machine.fenced {
-                continue;
-            }
-            let mut orders = Vec::new();
-            for (id, slot) in &mut machine.slots {
-                if let Some(order) = stop_order(id, slot, now) {
-                    orders.push(order);
-                }
-            }
-            if orders.is_empty() {
-                orders.extend(ring(machine, &self.jobs, now, quiet));
-            }
-            if !orders.is_empty() {
-                all.push((
-                    machine.id.clone(),
-                    machine.address.clone(),
-                    machine.newest.0,
-                    orders,
-                ));
-            }
-        }
-        all
-    }
-
     /// Number of completed and of running tasks of one job, for display.
     pub fn count(&self, id: &JobId) -> (u32, u32) {
         let Some(job) = self.jobs.get(id) else {
@@ -558,81 +545,16 @@
         });
         (job.done.len(), running.count() as u32)
     }
+}
 
-    /// Number of completed and of running tasks of each job, for display.
-    pub fn counts(&self) -> Vec<(JobId, u32, u32)> {
-        let mut running: HashMap<&JobId, u32> = HashMap::new();
-        for machine in self.machines.values() {
-            for (slot, state) in &machine.slots {
-                if matches!(state.phase, Phase::Running | Phase::Flushing) {
-                    *running.entry(&slot.task.job).or_default() += 1;
-                }
-            }
-        }
-        self.jobs
-            .iter()
-            .map(|(id, job)| {
-                let running = running.get(id).copied().unwrap_or(0);
-                (id.clone(), job.done.len(), running)
-            })
-            .collect()
-    }
+/// What the other nodes were not told yet.
+#[derive(Debug, Default)]
+struct Changed {
+    machines: BTreeSet<MachineId>,
+    jobs: BTreeSet<JobId>,
 }
 
 /// Returned machines remembered. Their late reports come within minutes, not days.
 const DEPARTED_KEPT: usize = 4096;
 /// How long submissions are remembered for the expected demand.
 const ARRIVALS_KEPT: Duration = Duration::from_secs(180);
-
-/// The clearing that makes a machine report at once, if a start waits for its report.
-fn ring(
-    machine: &mut Machine,
-    jobs: &BTreeMap<JobId, Job>,
-    now: Instant,
-    quiet: Duration,
-) -> Option<Order> {
-    let recent = machine
-        .rung
-        .is_some_and(|at| now.saturating_duration_since(at) < RING_AGAIN);
-    if recent || !machine.can_start(now, quiet) {
-        return None;
-    }
-    let job_of = |slot: &SlotId| jobs.get(&slot.task.job);
-    let mut slots = machine.slots.iter();
-    slots.find(|(slot, state)| {
-        state.phase == Phase::Planned
-            && job_of(slot).is_some_and(|job| job.open() && job.started == Durable::Yes)
-    })?;
-    let mut slots = machine.slots.iter();
-    let (bell, _) = slots.find(|(slot, state)| {
-        state.phase == Phase::Exited(crate::wire::Cause::Done)
-            && job_of(slot).is_none_or(|job| {
-                job.verdict != Verdict::Accepted || job.done.is_durable(slot.task.index)
-            })
-    })?;
-    let order = Order::Clear {
-        task: bell.task.to_string(),
-        attempt: bell.attempt.0,
-    };
-    machine.rung = Some(now);
-    Some(order)
-}
-
-/// The stop to send for a slot now, if one is due.
-fn stop_order(id: &SlotId, slot: &mut Slot, now: Instant) -> Option<Order> {
-    let sent = slot.sent() && slot.occupies();
-    let stop = slot.stop.as_mut().filter(|_| sent)?;
-    let saving = slot.phase == Phase::Flushing && stop.grace_s > 0.0;
-    let recent = stop
-        .told
-        .is_some_and(|at| now.saturating_duration_since(at) < REPEAT_STOP);
-    if saving || recent {
-        return None;
-    }
-    stop.told = Some(now);
-    Some(Order::Kill {
-        task: id.task.to_string(),
-        attempt: id.attempt.0,
-        grace_s: stop.grace_s,
-    })
-}
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -4,8 +4,9 @@
 
 use tracing::{debug, info, warn};
 
+use super::commands::stop_order;
 use super::machine::{Drain, Durable, Machine, Phase, Slot, SlotId};
-use super::{build_named, stop_order, Cluster, Place};
+use super::{build_named, Cluster, Place};
 use crate::config::secs;
 use crate::model::{Attempt, JobId, MachineId, TaskId, Verdict};
 use crate::wire::{Cause, Order, Report, TaskPhase};
@@ -66,15 +67,26 @@
         if machine.reported.is_none() {
             self.dirty = true;
             machine.idle_since = now;
-            if let Some(images) = self.hints.remove(&id) {
-                machine.images = images;
+            if let Some(hint) = self.hints.remove(&id) {
+                let images = hint.images.iter();
+                let images = images.map(|(name, gb)| (self.images.id(name), f64::from(*gb)));
+                machine.images = images.collect();
             }
+            self.changed.machines.insert(id.clone());
         }
         machine.reported = Some(now);
         machine.address.clone_from(&report.address);
-        machine.build.clone_from(&report.build);
-        machine.zone.clone_from(&report.zone);
-        machine.spot = report.spot;
+        let known = machine.kind.and_then(|kind| self.kinds.get(kind));
+        let same = known.is_some_and(|kind| {
+            kind.build == report.build && kind.zone == report.zone && kind.spot == report.spot
+        });
+        if !same {
+            machine.build.clone_from(&report.build);
+            machine.zone.clone_from(&report.zone);
+            machine.spot = report.spot;
+            let kind = self.kinds.id(&report.build, &report.zone, report.spot);
+            machine.kind = Some(kind);
+        }
         let leaves = report.notice_s.map(|s| now + secs(s));
         if machine.leaves.is_some() != leaves.is_some() {
             info!(machine = %id, notice_s = ?report.notice_s, "spot notice");
@@ -114,6 +126,9 @@
             self.see(&id, &slot, phase, now);
             listed.push(slot);
         }
+        if let Some(machine) = self.machines.get_mut(&id) {
+            machine.recount();
+        }
         if fenced {
             self.settle(&id, newest, own, &listed);
             if self.unsettled.remove(&id) {
@@ -159,7 +174,8 @@
 
     /// Takes one task of a report.
     fn see(&mut self, id: &MachineId, slot: &SlotId, phase: Phase, now: Instant) {
-        let spec = self.jobs.get(&slot.task.job).map(|job| job.spec.clone());
+        let job = self.jobs.get(&slot.task.job);
+        let (spec, image) = job.map(|job| (job.spec.clone(), job.image)).unzip();
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
@@ -170,6 +186,7 @@
             since: now,
             running_since: None,
             stop: None,
+            image,
         });
         let before = state.phase;
         let first_seen = !known || matches!(before, Phase::Planned | Phase::Sent { .. });
@@ -181,14 +198,21 @@
             phase,
             Phase::Gathering | Phase::Running | Phase::Exited(Cause::Done)
         );
-        let spec = state.spec.clone();
-        if let (true, Some(spec)) = (has_image && before != phase, &spec) {
-            let cache = build_named(&self.catalog, &machine.build).map_or(0.0, |b| b.cache_gb);
-            machine.used_image(&spec.image, spec.image_gb, cache);
-        }
         if before == phase && known {
             return;
         }
+        let needs = state
+            .image
+            .zip(state.spec.as_ref().map(|spec| spec.image_gb));
+        if let (true, Some((image, gb))) = (has_image, needs) {
+            let cache = build_named(&self.catalog, &machine.build).map_or(0.0, |b| b.cache_gb);
+            let known = machine.has_image(image);
+            machine.used_image(image, gb, cache);
+            if !known {
+                self.changed.machines.insert(id.clone());
+            }
+        }
+        self.changed.jobs.insert(slot.task.job.clone());
         self.dirty = true;
         debug!(machine = %id, task = %slot.task, ?phase, "task");
         match phase {
--- /dev/null
+++ b/src/fleet/planner.rs
@@ -0,0 +1,349 @@
+//! Puts what waits into the room there is or will be, and rents for the rest.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use super::{Market, Offer, Thrift};
+use crate::cluster::{Cluster, Machine};
+use crate::model::{Amount, Build, JobSpec, MachineId};
+use crate::sched::rooms::{Departures, Rooms};
+use crate::sched::{Policy, Short};
+
+/// A boot of this many times its nominal time no longer counts on as room to come.
+const LATE_BOOT: f64 = 1.8;
+/// Standard deviations above the mean of what may arrive while a machine boots.
+const SPARE_DEVIATIONS: f64 = 3.0;
+/// Part of a patient job's slack that may go by in waiting for places to come free; the rest
+/// is for estimates that are wrong.
+const SLACK_PART: f64 = 0.4;
+/// Shortest time over which arrivals are averaged, so that the first ones don't count for a
+/// flood.
+const ARRIVAL_WINDOW: Duration = Duration::from_secs(90);
+
+/// What can be rented, with its price.
+struct Ware<'a> {
+    offer: Offer,
+    build: &'a Build,
+    asked: bool,
+}
+
+/// Room that is there, or will be.
+struct Bay<'a> {
+    machine: Option<&'a Machine>,
+    free: Amount,
+    /// A task is on it still, and is expected to leave in so many seconds.
+    rest_s: Option<f64>,
+}
+
+/// Where tasks may be put.
+struct Bounds<'a> {
+    zone: Option<&'a str>,
+    /// Seconds they may wait for others to leave.
+    patience_s: f64,
+    /// Tasks of their job already put, by zone.
+    per_zone: HashMap<String, u32>,
+}
+
+/// The plan of one look. Tasks of a job are put by the machine, not one by one.
+pub(super) struct Planner<'a> {
+    cluster: &'a Cluster,
+    now: Instant,
+    wares: Vec<Ware<'a>>,
+    /// Room by ware.
+    bays: Vec<Vec<Bay<'a>>>,
+    departing: Vec<(usize, Bay<'a>)>,
+    rents: BTreeMap<usize, u32>,
+}
+
+impl<'a> Planner<'a> {
+    /// Room on machines that take tasks, and on machines that boot.
+    pub(super) fn new(
+        cluster: &'a Cluster,
+        market: &Market,
+        leaving: &HashSet<MachineId>,
+        now: Instant,
+    ) -> Self {
+        let mut wares = Vec::new();
+        for build in cluster.catalog().iter() {
+            for zone in &build.zones {
+                for spot in [true, false] {
+                    let offer = Offer {
+                        build: build.name.clone(),
+                        zone: zone.clone(),
+                        spot,
+                    };
+                    let asked = market.asks(&offer, now);
+                    wares.push(Ware {
+                        offer,
+                        build,
+                        asked,
+                    });
+                }
+            }
+        }
+        // Where machines of a kind stand among the wares.
+        let shelf: Vec<Option<usize>> = cluster
+            .kinds
+            .iter()
+            .map(|(_, kind)| {
+                wares.iter().position(|ware| {
+                    let offer = &ware.offer;
+                    offer.build == kind.build && offer.zone == kind.zone && offer.spot == kind.spot
+                })
+            })
+            .collect();
+        let shelf_of = |machine: &Machine| {
+            let kind = machine.kind?;
+            shelf.get(usize::from(kind.0)).copied().flatten()
+        };
+        let mut bays: Vec<Vec<Bay>> = wares.iter().map(|_| Vec::new()).collect();
+        let rooms = Rooms::of(cluster, now);
+        let departures = Departures::of(&rooms, now);
+        let mut departing = Vec::new();
+        for place in departures.places() {
+            let room = &rooms.all[place.room];
+            let mut free = room.free;
+            free.add(&place.amount);
+            let bay = Bay {
+                machine: None,
+                free,
+                rest_s: Some(place.rest_s),
+            };
+            if let Some(at) = shelf_of(room.machine).filter(|_| !leaving.contains(&room.machine.id))
+            {
+                departing.push((at, bay));
+            }
+        }
+        for room in rooms.all {
+            if let Some(at) = shelf_of(room.machine).filter(|_| !leaving.contains(&room.machine.id))
+            {
+                bays[at].push(Bay {
+                    machine: Some(room.machine),
+                    free: room.free,
+                    rest_s: None,
+                });
+            }
+        }
+        for machine in cluster.machines.values() {
+            let coming = machine.reported.is_none()
+                && !machine.returning
+                && !cluster.unsettled.contains(&machine.id)
+                && !leaving.contains(&machine.id);
+            let Some(at) = shelf_of(machine).filter(|_| coming) else {
+                continue;
+            };
+            let build = wares[at].build;
+            let age = now.saturating_duration_since(machine.rented);
+            if age <= build.boot.mul_f64(LATE_BOOT) {
+                bays[at].push(Bay {
+                    machine: Some(machine),
+                    free: build.room,
+                    rest_s: None,
+                });
+            }
+        }
+        Self {
+            cluster,
+            now,
+            wares,
+            bays,
+            departing,
+            rents: BTreeMap::new(),
+        }
+    }
+
+    /// Lets tasks count on room that running ones will leave, by their owners' estimates.
+    pub(super) fn count_on_departures(&mut self) {
+        for (at, bay) in std::mem::take(&mut self.departing) {
+            self.bays[at].push(bay);
+        }
+    }
+
+    /// Ends that.
+    pub(super) fn forget_departures(&mut self) {
+        for bays in &mut self.bays {
+            bays.retain(|bay| bay.rest_s.is_none());
+        }
+    }
+
+    /// What to rent.
+    pub(super) fn rents(self) -> Vec<(Offer, u32)> {
+        let rents = self.rents.into_iter();
+        rents
+            .map(|(at, count)| (self.wares[at].offer.clone(), count))
+            .collect()
+    }
+
+    /// Wares that a job can use, with the tasks that fit each machine.
+    fn usable(&self, spec: &JobSpec, zone: Option<&str>) -> Vec<(usize, u32)> {
+        let wares = self.wares.iter().enumerate();
+        wares
+            .filter(|(_, ware)| {
+                let offer = &ware.offer;
+                zone.is_none_or(|zone| zone == offer.zone)
+                    && spec.allows(&offer.build, &offer.zone, offer.spot)
+            })
+            .map(|(at, ware)| (at, spec.need.count_in(&ware.build.room)))
+            .filter(|(_, each)| *each > 0)
+            .collect()
+    }
+
+    /// Those of them that may be asked for now, cheapest for a task first.
+    fn cheapest(&self, usable: &[(usize, u32)]) -> Vec<(f64, usize, u32)> {
+        let asked = usable.iter().filter(|(at, _)| self.wares[*at].asked);
+        let mut cheapest: Vec<_> = asked
+            .map(|(at, each)| {
+                let ware = &self.wares[*at];
+                let price = ware.build.price_of(ware.offer.spot) / f64::from(*each);
+                (price, *at, *each)
+            })
+            .collect();
+        cheapest.sort_by(|a, b| a.0.total_cmp(&b.0));
+        cheapest
+    }
+
+    /// Puts tasks without room into bays, renting what is missing.
+    pub(super) fn place_want(&mut self, want: &Short) {
+        let spec = &want.spec;
+        let mut zone = want.zone.clone();
+        if spec.one_zone && zone.is_none() {
+            zone = self.cheapest_zone(want);
+            if zone.is_none() {
+                return;
+            }
+        }
+        let latest = want.target.checked_sub(spec.estimate());
+        let slack = latest.map_or(Duration::ZERO, |at| at.saturating_duration_since(self.now));
+        let mut bounds = Bounds {
+            zone: zone.as_deref(),
+            patience_s: slack.as_secs_f64() * SLACK_PART,
+            per_zone: HashMap::new(),
+        };
+        self.place(spec, want.tasks, &mut bounds, &mut HashSet::new());
+    }
+
+    /// The zone in which the fewest machines have to be rented, then the cheapest.
+    fn cheapest_zone(&self, want: &Short) -> Option<String> {
+        let spec = &want.spec;
+        let mut zones: Vec<&String> = self.wares.iter().map(|w| &w.offer.zone).collect();
+        zones.sort();
+        zones.dedup();
+        let mut best: Option<(u32, f64, String)> = None;
+        for zone in zones {
+            let usable = self.usable(spec, Some(zone));
+            let bays = usable.iter().flat_map(|(at, _)| &self.bays[*at]);
+            let there: u32 = bays.map(|bay| spec.need.count_in(&bay.free)).sum();
+            let missing = want.tasks.saturating_sub(there);
+            let price = match self.cheapest(&usable).first() {
+                Some((price, ..)) => *price,
+                None if missing == 0 => 0.0,
+                None => continue,
+            };
+            let better = best.as_ref().is_none_or(|(fewest, least, _)| {
+                missing < *fewest || (missing == *fewest && price < *least)
+            });
+            if better {
+                best = Some((missing, price, zone.clone()));
+            }
+        }
+        best.map(|(_, _, zone)| zone)
+    }
+
+    /// Puts tasks into bays and rents for the rest. Machines whose room was used are added to
+    /// `used`.
+    fn place(
+        &mut self,
+        spec: &JobSpec,
+        tasks: u32,
+        bounds: &mut Bounds,
+        used: &mut HashSet<MachineId>,
+    ) {
+        let cap = spec.zone_cap();
+        let usable = self.usable(spec, bounds.zone);
+        let mut left = tasks;
+        for (at, _) in &usable {
+            let ware = &self.wares[*at];
+            let boot_s = ware.build.boot.as_secs_f64();
+            let there = bounds.per_zone.entry(ware.offer.zone.clone()).or_default();
+            for bay in &mut self.bays[*at] {
+                // A place must come free sooner than a new machine would be up, or soon enough
+                // for the job to be in time.
+                let soon = bay
+                    .rest_s
+                    .is_none_or(|rest| rest < bounds.patience_s.max(boot_s));
+                let room = spec.need.count_in(&bay.free).min(left).min(cap - *there);
+                if left == 0 || room == 0 || !soon {
+                    continue;
+                }
+                // What leaves makes one place, whatever its size: estimates are not added up.
+                let room = if bay.rest_s.is_some() { 1 } else { room };
+                bay.free.sub(&spec.need.times(room));
+                *there += room;
+                left -= room;
+                used.extend(bay.machine.map(|machine| machine.id.clone()));
+            }
+        }
+        for (_, at, each) in self.cheapest(&usable) {
+            let ware = &self.wares[at];
+            let there = bounds.per_zone.entry(ware.offer.zone.clone()).or_default();
+            let mut here = left.min(cap - *there);
+            if here == 0 {
+                continue;
+            }
+            *there += here;
+            left -= here;
+            *self.rents.entry(at).or_default() += here.div_ceil(each);
+            while here > 0 {
+                let on_it = here.min(each);
+                let mut free = ware.build.room;
+                free.sub(&spec.need.times(on_it));
+                here -= on_it;
+                self.bays[at].push(Bay {
+                    machine: None,
+                    free,
+                    rest_s: None,
+                });
+            }
+        }
+    }
+
+    /// Keeps, and rents, room for what may arrive while a machine would boot, for classes
+    /// whose jobs have to start sooner than that. Returns the machines so kept.
+    pub(super) fn keep_spare(&mut self, policy: &Policy, thrift: Thrift) -> HashSet<MachineId> {
+        let cluster = self.cluster;
+        let mut kept = HashSet::new();
+        let window = self
+            .now
+            .saturating_duration_since(cluster.since)
+            .clamp(ARRIVAL_WINDOW, ARRIVAL_WINDOW * 2);
+        let mut classes: BTreeMap<&str, (f64, &JobSpec)> = BTreeMap::new();
+        for (at, spec) in &cluster.arrivals {
+            let recent = self.now.saturating_duration_since(*at) <= window;
+            if recent && policy.prompt.contains_key(&spec.class) {
+                let entry = classes.entry(&spec.class).or_insert((0.0, spec));
+                entry.0 += f64::from(spec.tasks);
+            }
+        }
+        for (_, (tasks, spec)) in classes {
+            let usable = self.usable(spec, None);
+            let cheapest = self.cheapest(&usable);
+            let Some((_, first, _)) = cheapest.first() else {
+                continue;
+            };
+            let boot = self.wares[*first].build.boot;
+            let expected = tasks / window.as_secs_f64() * boot.as_secs_f64();
+            let spare = (expected + SPARE_DEVIATIONS * expected.sqrt()) * thrift.spare_factor;
+            let mut any = spec.clone();
+            any.one_zone = false;
+            any.spread = false;
+            any.zone = None;
+            let mut bounds = Bounds {
+                zone: None,
+                patience_s: 0.0,
+                per_zone: HashMap::new(),
+            };
+            self.place(&any, spare.round() as u32, &mut bounds, &mut kept);
+        }
+        kept
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,6 +1,7 @@
 //! What the nodes tell each other, as `bincode` over HTTP on `peer_bind`. Operators reach
 //! [`crate::api::admin`] on the same address.
 
+use std::collections::HashMap;
 use std::time::Instant;
 
 use actix_web::{web, HttpResponse};
@@ -13,25 +14,97 @@
 pub const DIGEST: &str = "/peer/digest";
 /// Content type between the nodes.
 pub const BINCODE: &str = "application/x-bincode";
-/// Largest digest taken: some ten thousand jobs.
-pub const DIGEST_LIMIT: usize = 512 * 1024;
+/// Largest digest taken: several thousand machines with ten images each, and their jobs.
+pub const DIGEST_LIMIT: usize = 2 * 1024 * 1024;
 
-/// What a leader tells the others.
+/// What a leader tells the others once a second. All of it is for display or a hint, and
+/// nothing that must be right hangs on it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// Its term.
     pub term: Term,
     /// Its name.
     pub member: String,
-    /// Completed and running tasks of the jobs under way, for display.
-    pub counts: Vec<(JobId, u32, u32)>,
-    /// Images the machines have fetched. A new leader can't learn them from reports; they are
-    /// a hint for placement, and nothing that must be right hangs on them.
-    pub images: Vec<(MachineId, Images)>,
+    /// Counts the digests of a term.
+    pub number: u64,
+    /// Everything, not only what changed since the digest before.
+    pub full: bool,
+    /// What there is to tell.
+    pub news: News,
 }
 
-/// Images with their sizes in GB, most recently used last.
-pub type Images = Vec<(String, f64)>;
+/// The contents of a digest.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// Jobs under way.
+    pub counts: Vec<Counts>,
+    /// Jobs not under way any more.
+    pub over: Vec<JobId>,
+    /// Machines, for a leader to come.
+    pub hints: Vec<(MachineId, Hint)>,
+    /// Machines that are gone.
+    pub gone: Vec<MachineId>,
+}
+
+/// Completed and running tasks of a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Counts {
+    /// The job.
+    pub id: JobId,
+    /// Completed.
+    pub done: u32,
+    /// Running.
+    pub running: u32,
+}
+
+/// What a new leader can't learn from reports, or can use before the first one.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Hint {
+    /// Where the machine takes direct commands.
+    pub address: String,
+    /// Its session.
+    pub session: u64,
+    /// Images it has with their sizes in GB, most recently used last.
+    pub images: Vec<(String, f32)>,
+}
+
+/// What a node keeps of the digests.
+#[derive(Debug, Default)]
+pub struct Told {
+    term: Term,
+    number: u64,
+    /// Completed and running tasks.
+    pub counts: HashMap<JobId, (u32, u32)>,
+    /// Machines.
+    pub hints: HashMap<MachineId, Hint>,
+}
+
+impl Told {
+    /// Takes a digest; whether it could be used. One that builds on another that did not
+    /// arrive can't.
+    pub fn take(&mut self, digest: Digest) -> bool {
+        let follows = digest.term == self.term && digest.number == self.number + 1;
+        if digest.term < self.term || !(digest.full || follows) {
+            return false;
+        }
+        if digest.full {
+            *self = Self::default();
+        }
+        self.term = digest.term;
+        self.number = digest.number;
+        let counts = digest.news.counts.into_iter();
+        self.counts
+            .extend(counts.map(|c| (c.id, (c.done, c.running))));
+        for id in &digest.news.over {
+            self.counts.remove(id);
+        }
+        self.hints.extend(digest.news.hints);
+        for id in &digest.news.gone {
+            self.hints.remove(id);
+        }
+        true
+    }
+}
 
 /// Encodes for a peer.
 pub fn encode<T: Serialize>(value: &T) -> Option<Vec<u8>> {
@@ -56,10 +129,11 @@
     }
     shared.role.lock().hears(digest.term, &digest.member);
     *shared.peer_contact.lock() = Some(Instant::now());
-    let counts = digest.counts.into_iter();
-    *shared.counts.lock() = counts.map(|(id, d, r)| (id, (d, r))).collect();
-    *shared.images.lock() = digest.images.into_iter().collect();
-    HttpResponse::NoContent().finish()
+    if shared.told.lock().take(digest) {
+        HttpResponse::NoContent().finish()
+    } else {
+        HttpResponse::Conflict().finish()
+    }
 }
 
 /// The routes between nodes.
@@ -75,16 +149,64 @@
 mod tests {
     use super::*;
 
+    fn news(done: u32) -> News {
+        News {
+            counts: vec![Counts {
+                id: JobId::parse("wk-000001").unwrap(),
+                done,
+                running: 5,
+            }],
+            over: Vec::new(),
+            hints: vec![(
+                MachineId("m-1".into()),
+                Hint {
+                    address: "127.0.0.1:9".to_owned(),
+                    session: 2,
+                    images: vec![("img".to_owned(), 2.5)],
+                },
+            )],
+            gone: Vec::new(),
+        }
+    }
+
+    /// A digest that was lost, or one of an older leader, must not leave a mixture.
+    #[test]
+    fn a_digest_of_changes_is_taken_only_on_top_of_the_one_before() {
+        let digest = |term, number, full, news| Digest {
+            term: Term(term),
+            member: "knot-1".to_owned(),
+            number,
+            full,
+            news,
+        };
+        let id = JobId::parse("wk-000001").unwrap();
+        let mut told = Told::default();
+        assert!(!told.take(digest(3, 7, false, news(1))), "no base yet");
+        assert!(told.take(digest(3, 8, true, news(1))));
+        assert!(told.take(digest(3, 9, false, news(2))));
+        assert_eq!(told.counts[&id], (2, 5));
+        assert!(!told.take(digest(3, 11, false, news(4))), "one is missing");
+        assert!(
+            !told.take(digest(2, 10, true, news(4))),
+            "an older leader's"
+        );
+        let mut last = News::default();
+        last.over.push(id.clone());
+        last.gone.push(MachineId("m-1".into()));
+        assert!(told.take(digest(3, 10, false, last)));
+        assert!(told.counts.is_empty() && told.hints.is_empty());
+        assert!(told.take(digest(4, 1, true, news(1))), "a new term");
+        assert_eq!(told.counts[&id], (1, 5));
+    }
+
     #[test]
     fn a_digest_arrives_as_it_was_sent_and_rubbish_does_not() {
         let digest = Digest {
             term: Term(3),
             member: "knot-1".to_owned(),
-            counts: JobId::parse("wk-000001")
-                .map(|id| (id, 2, 5))
-                .into_iter()
-                .collect(),
-            images: vec![(MachineId("m-1".into()), vec![("img".to_owned(), 2.5)])],
+            number: 7,
+            full: true,
+            news: news(2),
         };
         let bytes = encode(&digest).unwrap();
         assert_eq!(decode::<Digest>(&bytes), Some(digest));
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -4,6 +4,7 @@
 pub mod allocate;
 pub mod order;
 pub mod preempt;
+pub mod rooms;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,7 +13,8 @@
 use crate::cluster::{Cluster, Job};
 use crate::config::{Settings, TeamSettings};
 use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId};
-use allocate::{Departures, Rooms};
+use allocate::Claim;
+use rooms::{Departures, Rooms};
 
 /// Tasks of one job started in one round; a larger array goes on in the next one.
 const MOST_STARTS_A_JOB: usize = 256;
@@ -185,7 +187,8 @@
         .into_iter()
         .map(|(team, sum)| (team.to_owned(), sum))
         .collect();
-    let mut departures = Departures::of(cluster, &rooms, now);
+    let mut departures = Departures::of(&rooms, now);
+    let claims = allocate::claims(view);
     let ordered = order::order(cluster, policy, now);
     let mut wanting = Vec::new();
     for entry in &ordered {
@@ -208,10 +211,11 @@
         }
         let sum = used.entry(job.spec.team.clone()).or_default();
         if job.gang() {
-            step_gang(view, entry, sum, &mut rooms, &mut decisions);
+            step_gang(view, &claims, entry, sum, &mut rooms, &mut decisions);
         } else {
             step_array(
                 view,
+                &claims,
                 entry,
                 sum,
                 &mut rooms,
@@ -232,6 +236,7 @@
 /// A gang: whole, repaired, or not at all.
 fn step_gang(
     view: View,
+    claims: &[Claim],
     entry: &order::Entry,
     used: &mut Amount,
     rooms: &mut Rooms,
@@ -268,21 +273,21 @@
         decisions.waits.push((id.clone(), "its team's limit"));
         return;
     }
-    let before = rooms.clone();
-    let found = allocate::gang(view, job, &missing, rooms);
+    let found = allocate::gang(view, claims, job, &missing, rooms);
     // Ready when the allocated members reach the minimum, or with those that succeeded.
     if found.members.len() as u32 + placed + job.done.len() >= job.spec.minimum() {
         *used = wanted;
+        found.keep(rooms, &job.spec.need);
         decisions.starts.push(Start {
             job: id.clone(),
             under,
-            members: found.members,
+            members: found.machines(rooms),
         });
         return;
     }
     let age = now.saturating_duration_since(job.submitted);
-    if age < cluster.timing.gang_wait * KEEP_ROOM_AFTER {
-        *rooms = before;
+    if age >= cluster.timing.gang_wait * KEEP_ROOM_AFTER {
+        found.keep(rooms, &job.spec.need);
     }
     decisions
         .waits
@@ -299,9 +304,10 @@
 /// An array: every task is a gang of one.
 fn step_array(
     view: View,
+    claims: &[Claim],
     entry: &order::Entry,
     used: &mut Amount,
-    rooms: &mut Rooms,
+    rooms: &mut Rooms<'_>,
     departures: &mut Departures,
     decisions: &mut Decisions,
 ) {
@@ -325,10 +331,11 @@
         decisions.waits.push((id.clone(), "its team's limit"));
         return;
     }
-    let found = allocate::array(view, job, &missing[..allowed], rooms, departures);
+    let found = allocate::array(view, claims, job, &missing[..allowed], rooms, departures);
     let placed = found.members.len();
     used.add(&job.spec.need.times(placed as u32));
-    for member in found.members {
+    found.keep(rooms, &job.spec.need);
+    for member in found.machines(rooms) {
         decisions.starts.push(Start {
             job: id.clone(),
             under: Under::Fresh,
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -18,6 +18,8 @@
 pub struct Entry<'a> {
     /// The job.
     pub job: &'a Job,
+    /// Its unfinished tasks without a place.
+    pub pending: u32,
     /// Whether it is within its team's guarantee.
     pub guaranteed: bool,
     /// When it should be over, as far as that can still be.
@@ -52,7 +54,7 @@
     (missed, target.unwrap_or(at_best))
 }
 
-/// Open jobs with unplaced tasks, or places to be looked after, first things first.
+/// Open jobs with unplaced tasks, first things first.
 pub fn order<'a>(cluster: &'a Cluster, policy: &Policy, now: Instant) -> Vec<Entry<'a>> {
     let mut jobs: Vec<&Job> = cluster.jobs.values().filter(|job| job.open()).collect();
     jobs.sort_by_key(|job| job.submitted);
@@ -62,9 +64,14 @@
         let sum = sums.entry(job.spec.team.as_str()).or_default();
         let unfinished = job.spec.tasks - job.done.len();
         sum.add(&job.spec.need.times(unfinished));
+        let pending = job.pending_count();
+        if pending == 0 {
+            continue;
+        }
         let (missed, target) = reachable(job, policy, now);
         entries.push(Entry {
             job,
+            pending,
             guaranteed: policy.within_guarantee(&job.spec.team, sum),
             target,
             missed,
@@ -72,7 +79,7 @@
     }
     // A guarantee is a claim against other teams; alone, a team's jobs go by their targets.
     let contested = sums.len() > 1;
-    entries.sort_by_key(|entry| key(entry, contested, now));
+    entries.sort_by_cached_key(|entry| key(entry, contested, now));
     entries
 }
 
@@ -86,7 +93,7 @@
         contested && !entry.guaranteed,
         age < OLD,
         entry.missed,
-        job.spec.estimate() * job.pending_count(),
+        job.spec.estimate() * entry.pending,
         entry.target,
     )
 }
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -1,10 +1,12 @@
 //! Stops that make room: preemption as the protocol allows it, and machines about to leave.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use super::allocate::{Departures, Rooms};
+use super::allocate;
 use super::order::Entry;
+use super::rooms::{Departures, Rooms};
 use super::{Decisions, Halt, Policy, View};
 use crate::cluster::{build_named, Cluster, Drain, Job, Machine, Phase, Slot, SlotId};
 use crate::model::{Amount, JobId, MachineId, TaskId};
@@ -18,6 +20,10 @@
 /// another team's work of the same rank is stopped for it: what is stopped is often lost.
 const GUARANTEE_PATIENCE: Duration = Duration::from_secs(60);
 
+/// Claimants for which a round looks for victims; the first ones in order go first, and the
+/// next round goes on from what was stopped for them.
+const MOST_CLAIMS: u32 = 12;
+
 /// What the claimant may stop.
 fn may_stop(
     cluster: &Cluster,
@@ -101,7 +107,8 @@
     }
     let mut taken: HashSet<(MachineId, SlotId)> = HashSet::new();
     let rooms = Rooms::of(cluster, now);
-    let mut departures = Departures::of(cluster, &rooms, now);
+    let mut departures = Departures::of(&rooms, now);
+    let mut looks = MOST_CLAIMS;
     for (claimant, tasks) in wanting {
         let by_rank = lowest.is_some_and(|rank| rank < claimant.job.spec.rank);
         let waited = now.saturating_duration_since(claimant.job.submitted);
@@ -109,64 +116,157 @@
         if !by_rank && !by_guarantee {
             continue;
         }
+        if looks == 0 {
+            break;
+        }
+        looks -= 1;
+        let spec = &claimant.job.spec;
         let patience = patience(policy, claimant, now);
-        let served = (0..*tasks)
-            .filter(|_| departures.serve(&rooms, &claimant.job.spec, patience))
-            .count() as u32;
-        if served == *tasks {
+        if departures.serve(&rooms, spec, *tasks, patience) == *tasks {
             continue;
         }
-        let mut plan = Vec::new();
-        let mut ready = 0;
-        for _ in 0..*tasks {
-            let best = cluster
-                .machines
-                .values()
-                .filter(|m| m.takes_tasks(now, cluster.timing.quiet))
-                .filter(|m| claimant.job.spec.allows(&m.build, &m.zone, m.spot))
-                .filter_map(|machine| {
-                    let promised = promised.get(&machine.id).copied().unwrap_or_default();
-                    let victims = victims_on(view, &used, claimant, machine, promised, &taken)?;
-                    Some((victims, machine))
-                })
-                .min_by(|a, b| a.0 .0.total_cmp(&b.0 .0));
-            let Some(((_, victims), machine)) = best else {
-                break;
+        // Room in two zones is of no use to a job bound to one.
+        let zones = if spec.one_zone {
+            allocate::zones_to_try(view, claimant.job, &rooms)
+        } else {
+            vec![None]
+        };
+        let ways = zones.iter().filter_map(|zone| {
+            let search = Search {
+                view,
+                used: &used,
+                claimant,
+                rooms: &rooms,
+                promised: &promised,
+                taken: &taken,
             };
-            ready += 1;
-            let sum = promised.entry(machine.id.clone()).or_default();
-            sum.add(&claimant.job.spec.need);
-            for slot in victims {
-                // Its room is the claimant's now: it must not be counted for another.
-                taken.insert((machine.id.clone(), slot.clone()));
-                plan.push((machine.id.clone(), slot));
-            }
-        }
+            search.way(zone.as_deref(), *tasks)
+        });
+        let best = ways.min_by(|a, b| b.ready.cmp(&a.ready).then(a.cost.total_cmp(&b.cost)));
         // A gang gains nothing by room for a part of it.
-        if ready == 0 || (claimant.job.gang() && ready < *tasks) {
+        let whole = |way: &Way| !claimant.job.gang() || way.ready == *tasks;
+        let Some(way) = best.filter(whole) else {
             continue;
+        };
+        for (machine, sum) in way.promised {
+            promised.insert(machine, sum);
         }
-        for (machine, slot) in plan {
+        for (machine, slot) in way.victims {
             halt(cluster, decisions, &machine, &slot, "preempted");
+            // Its room is the claimant's now: it must not be counted for another.
+            taken.insert((machine, slot));
+        }
+    }
+}
+
+/// Stops that make room for a job's tasks.
+#[derive(Default)]
+struct Way {
+    ready: u32,
+    cost: f64,
+    victims: Vec<(MachineId, SlotId)>,
+    promised: BTreeMap<MachineId, Amount>,
+}
+
+/// What is looked at for one claimant.
+struct Search<'a> {
+    view: View<'a>,
+    used: &'a HashMap<&'a str, Amount>,
+    claimant: &'a Entry<'a>,
+    rooms: &'a Rooms<'a>,
+    promised: &'a BTreeMap<MachineId, Amount>,
+    taken: &'a HashSet<(MachineId, SlotId)>,
+}
+
+impl Search<'_> {
+    /// The cheapest stops that make room for up to `tasks` tasks in a zone, or anywhere.
+    fn way(&self, zone: Option<&str>, tasks: u32) -> Option<Way> {
+        let spec = &self.claimant.job.spec;
+        let kinds = self.rooms.kinds_for(spec, zone);
+        let mut way = Way::default();
+        let mut taken: HashSet<(MachineId, SlotId)> = HashSet::new();
+        let mut options: BinaryHeap<Reverse<Choice>> = BinaryHeap::new();
+        let rooms = self.rooms.all.iter().enumerate();
+        for (at, room) in rooms.filter(|(_, room)| kinds.contains(&room.kind)) {
+            options.extend(self.choice(at, room.machine, &way.promised, &taken));
+        }
+        while way.ready < tasks {
+            let Some(Reverse(best)) = options.pop() else {
+                break;
+            };
+            let machine = self.rooms.all[best.at].machine;
+            way.ready += 1;
+            way.cost += best.cost;
+            let before = self.promised.get(&machine.id).copied();
+            let sum = way.promised.entry(machine.id.clone());
+            sum.or_insert(before.unwrap_or_default()).add(&spec.need);
+            for slot in best.victims {
+                taken.insert((machine.id.clone(), slot.clone()));
+                way.victims.push((machine.id.clone(), slot));
+            }
+            options.extend(self.choice(best.at, machine, &way.promised, &taken));
         }
+        (way.ready > 0).then_some(way)
+    }
+
+    fn choice(
+        &self,
+        at: usize,
+        machine: &Machine,
+        promised: &BTreeMap<MachineId, Amount>,
+        taken: &HashSet<(MachineId, SlotId)>,
+    ) -> Option<Reverse<Choice>> {
+        let sum = promised.get(&machine.id).or(self.promised.get(&machine.id));
+        let leaves = |key: &(MachineId, SlotId)| taken.contains(key) || self.taken.contains(key);
+        let sum = sum.copied().unwrap_or_default();
+        let (cost, victims) = victims_on(self, machine, sum, leaves)?;
+        Some(Reverse(Choice { cost, at, victims }))
+    }
+}
+
+/// A machine on which stops would make room for a task.
+struct Choice {
+    cost: f64,
+    at: usize,
+    victims: Vec<SlotId>,
+}
+
+impl PartialEq for Choice {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Choice {}
+
+impl PartialOrd for Choice {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Choice {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.cost
+            .total_cmp(&other.cost)
+            .then(self.at.cmp(&other.at))
     }
 }
 
 /// The cheapest victims on one machine that make room for one task; none where there is room
 /// already or stops under way make it.
 fn victims_on(
-    view: View,
-    used: &HashMap<&str, Amount>,
-    claimant: &Entry,
+    search: &Search,
     machine: &Machine,
     promised: Amount,
-    taken: &HashSet<(MachineId, SlotId)>,
+    leaves: impl Fn(&(MachineId, SlotId)) -> bool,
 ) -> Option<(f64, Vec<SlotId>)> {
     let View {
         cluster,
         policy,
         now,
-    } = view;
+    } = search.view;
+    let Search { used, claimant, .. } = search;
     let build = build_named(cluster.catalog(), &machine.build)?;
     let need = &claimant.job.spec.need;
     let mut free = build.room;
@@ -174,7 +274,7 @@
     let mut candidates = Vec::new();
     for (id, slot) in machine.slots.iter().filter(|(_, slot)| slot.occupies()) {
         let spec = slot.spec.as_ref()?;
-        let leaving = slot.stop.is_some() || taken.contains(&(machine.id.clone(), id.clone()));
+        let leaving = slot.stop.is_some() || leaves(&(machine.id.clone(), id.clone()));
         if leaving {
             continue;
         }
--- a/src/service.rs
+++ b/src/service.rs
@@ -3,7 +3,6 @@
 //! Locks are taken in the order replica, role, cluster, the rest; they are never held across
 //! an await, and nothing is sent, written or encoded under them.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
@@ -17,8 +16,8 @@
 use crate::fleet::Thrift;
 use crate::leader::Role;
 use crate::metrics::Metrics;
-use crate::model::{JobId, MachineId};
-use crate::peer::Images;
+use crate::model::MachineId;
+use crate::peer::Told;
 use crate::sched::Policy;
 use crate::store::from_value;
 use crate::store::replica::{News, Replica};
@@ -139,10 +138,8 @@
     pub cluster: Shelf<Option<Cluster>>,
     /// Machine types, once known.
     pub catalog: Shelf<Option<Catalog>>,
-    /// Counts of completed and running tasks, as the leader last told.
-    pub counts: Shelf<HashMap<JobId, (u32, u32)>>,
-    /// Images the machines have, as the leader last told.
-    pub images: Shelf<HashMap<MachineId, Images>>,
+    /// What the leader last told.
+    pub told: Shelf<Told>,
     /// Contact with the state service.
     pub contact: Shelf<Contact>,
     /// When a peer last told that it is in contact with the state service.
@@ -178,8 +175,7 @@
             revision: watch::Sender::new(0),
             cluster: Shelf::default(),
             catalog: Shelf::default(),
-            counts: Shelf::default(),
-            images: Shelf::default(),
+            told: Shelf::default(),
             contact: Shelf::default(),
             peer_contact: Shelf::default(),
             operator: Shelf::default(),
