A machine's token is raised within the term to bring its next report at once

Tokens are now (term, count); order and fences go by the term. Ruled out: keeping results on the machines (reverted here).

--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -9,14 +9,14 @@
 use awc::Client;
 use tracing::{debug, info};
 
-use crate::cluster::{RecordWrite, Verified};
+use crate::cluster::{Direct, RecordWrite, Verified};
 use crate::leader::Lead;
-use crate::model::MachineId;
+use crate::model::Token;
 use crate::sched::{self, Short};
 use crate::service::{Shared, Shelf};
 use crate::store::actor::{Commit, StoreActor};
 use crate::store::{keys, Condition, Outcome, StoreError};
-use crate::wire::{self, DirectOrders, Order, Report};
+use crate::wire::{self, Order, Report};
 
 /// Shortest time between two rounds: events gather meanwhile.
 const SHORTEST: Duration = Duration::from_millis(150);
@@ -123,13 +123,8 @@
         for write in writes {
             actix::spawn(self.clone().write(lead.clone(), write));
         }
-        for (machine, address, session, orders) in direct {
-            let body = DirectOrders {
-                token: lead.term.0,
-                session,
-                orders,
-            };
-            actix::spawn(self.clone().command(machine, address, body));
+        for order in direct {
+            actix::spawn(self.clone().command(order));
         }
         let mut metrics = self.shared.metrics.lock();
         metrics.rounds.add(now.elapsed());
@@ -169,7 +164,12 @@
 
     /// Sends stops straight to a worker. Late or repeated they do no harm, since no attempt
     /// is ever used twice.
-    async fn command(self: Rc<Self>, machine: MachineId, address: String, body: DirectOrders) {
+    async fn command(self: Rc<Self>, direct: Direct) {
+        let Direct {
+            machine,
+            address,
+            body,
+        } = direct;
         debug_assert!(!body.orders.iter().any(|o| matches!(o, Order::Run { .. })));
         let sent = self
             .http
@@ -190,7 +190,7 @@
         };
         let now = Instant::now();
         if let Some(cluster) = self.shared.cluster.lock().as_mut() {
-            if cluster.term.0 == body.token {
+            if cluster.term == Token(body.token).term() {
                 let verified = cluster.report(&report, false, now);
                 debug!(%machine, ?verified, "direct command answered");
                 if verified == Verified::Deposed {
--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -8,7 +8,7 @@
 use super::{cbor, problem};
 use crate::cluster::Verified;
 use crate::leader::Standing;
-use crate::model::{MachineId, Term};
+use crate::model::{MachineId, Term, Token};
 use crate::service::Shared;
 use crate::wire::{self, Order, Redirect, Report, ReportAnswer};
 
@@ -38,19 +38,24 @@
         Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
     };
     match take(&shared, &report, term, now) {
-        Some((orders, wake)) => {
+        Some((token, orders, wake)) => {
             if wake {
                 shared.wake_round.notify_one();
             }
-            let token = term.0;
+            let token = token.0;
             cbor(StatusCode::OK, &ReportAnswer { token, orders })
         }
         None => problem(StatusCode::SERVICE_UNAVAILABLE, "the lead is passing on"),
     }
 }
 
-/// The orders for the worker and whether a round should look; `None` if another one leads.
-fn take(shared: &Shared, report: &Report, term: Term, now: Instant) -> Option<(Vec<Order>, bool)> {
+/// The token and the orders for the worker, and whether a round should look; `None` if another one leads.
+fn take(
+    shared: &Shared,
+    report: &Report,
+    term: Term,
+    now: Instant,
+) -> Option<(Token, Vec<Order>, bool)> {
     let id = MachineId(report.machine.as_str().into());
     let mut guard = shared.cluster.lock();
     let cluster = guard.as_mut().filter(|cluster| cluster.term == term)?;
@@ -58,7 +63,7 @@
     if verified == Verified::Deposed {
         return None;
     }
-    cluster.touch(&id, now);
+    let token = cluster.touch(&id, now);
     // Looked at under the lock: a lead that has just ended must not send starts.
     let leads = shared.role.lock().leading(Instant::now());
     let may_order = leads.is_some_and(|lead| lead.term == term) && verified == Verified::Newer;
@@ -67,5 +72,5 @@
     } else {
         Vec::new()
     };
-    Some((orders, cluster.dirty))
+    Some((token, orders, cluster.dirty))
 }
--- a/src/cluster/commands.rs
+++ b/src/cluster/commands.rs
@@ -3,23 +3,31 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::{Cluster, Durable, Job, Machine, Phase, Slot, SlotId};
-use crate::model::{JobId, MachineId, Verdict};
+use super::{Cluster, Durable, Job, Machine, Phase, Slot, SlotId, Timing};
+use crate::model::{JobId, MachineId};
 use crate::peer::{Counts, Hint, News};
-use crate::wire::Order;
+use crate::wire::{DirectOrders, Order};
 
 /// A stop is repeated in reports' answers; straight to the machine only after this long.
 const REPEAT_STOP: Duration = Duration::from_secs(2);
-/// A machine that was made to report is not asked again sooner.
-const RING_AGAIN: Duration = Duration::from_secs(2);
+
+/// Commands for one machine.
+#[derive(Debug)]
+pub struct Direct {
+    /// The machine.
+    pub machine: MachineId,
+    /// Where it takes them.
+    pub address: String,
+    /// The commands.
+    pub body: DirectOrders,
+}
 
 impl Cluster {
-    /// Machines with commands to be sent straight away, with those commands: stops, and the
-    /// clearing of a result where a start waits for the next report, since a worker reports at
-    /// once when its tasks change. A start itself never goes this way.
-    pub fn direct_orders(&mut self, now: Instant) -> Vec<(MachineId, String, u64, Vec<Order>)> {
+    /// Commands to be sent straight away: stops, and a raised token where a start waits for
+    /// the machine's next report, since a worker reports at once when its token rises. A start
+    /// itself never goes this way.
+    pub fn direct_orders(&mut self, now: Instant) -> Vec<Direct> {
         let mut all = Vec::new();
-        let quiet = self.timing.quiet;
         for machine in self.machines.values_mut() {
             let wanted = machine.restless() && machine.fenced;
             if !wanted || machine.address.is_empty() {
@@ -31,16 +39,17 @@
                     orders.push(order);
                 }
             }
-            if orders.is_empty() {
-                orders.extend(ring(machine, &self.jobs, now, quiet));
-            }
-            if !orders.is_empty() {
-                all.push((
-                    machine.id.clone(),
-                    machine.address.clone(),
-                    machine.newest.0,
-                    orders,
-                ));
+            let rung = ring(machine, &self.jobs, &self.timing, now);
+            if rung || !orders.is_empty() {
+                all.push(Direct {
+                    machine: machine.id.clone(),
+                    address: machine.address.clone(),
+                    body: DirectOrders {
+                        token: machine.token.0,
+                        session: machine.newest.0,
+                        orders,
+                    },
+                });
             }
         }
         all
@@ -93,38 +102,25 @@
     }
 }
 
-/// The clearing that makes a machine report at once, if a start waits for its report.
-fn ring(
-    machine: &mut Machine,
-    jobs: &BTreeMap<JobId, Job>,
-    now: Instant,
-    quiet: Duration,
-) -> Option<Order> {
-    let recent = machine
-        .rung
-        .is_some_and(|at| now.saturating_duration_since(at) < RING_AGAIN);
-    if recent || !machine.can_start(now, quiet) {
-        return None;
+/// Raises the machine's token if a start waits for its report; whether it did. Workers heed
+/// that once in half a lease only.
+fn ring(machine: &mut Machine, jobs: &BTreeMap<JobId, Job>, timing: &Timing, now: Instant) -> bool {
+    let since = |at: Instant| now.saturating_duration_since(at);
+    let heeded = machine.rung.is_none_or(|at| since(at) >= timing.lease / 2);
+    if !heeded || !machine.can_start(now, timing.quiet) {
+        return false;
     }
-    let job_of = |slot: &SlotId| jobs.get(&slot.task.job);
-    let mut slots = machine.slots.iter();
-    slots.find(|(slot, state)| {
+    let waits = machine.slots.iter().any(|(slot, state)| {
+        let job = jobs.get(&slot.task.job);
         state.phase == Phase::Planned
-            && job_of(slot).is_some_and(|job| job.open() && job.started == Durable::Yes)
-    })?;
-    let mut slots = machine.slots.iter();
-    let (bell, _) = slots.find(|(slot, state)| {
-        state.phase == Phase::Exited(crate::wire::Cause::Done)
-            && job_of(slot).is_none_or(|job| {
-                job.verdict != Verdict::Accepted || job.done.is_durable(slot.task.index)
-            })
-    })?;
-    let order = Order::Clear {
-        task: bell.task.to_string(),
-        attempt: bell.attempt.0,
+            && job.is_some_and(|job| job.open() && job.started == Durable::Yes)
+    });
+    let Some(raised) = machine.token.raised().filter(|_| waits) else {
+        return false;
     };
+    machine.token = raised;
     machine.rung = Some(now);
-    Some(order)
+    true
 }
 
 /// The stop to send for a slot now, if one is due.
--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::{ImageId, KindId};
-use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId};
+use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId, Token};
 use crate::wire::Cause;
 
 /// A start of a task on a machine.
@@ -138,6 +138,8 @@
     pub rented: Instant,
     /// Newest report's session and number.
     pub newest: (u64, u64),
+    /// Highest token it has reported or we have used for it.
+    pub token: Token,
     /// It has reported our term: no older leader can command it any more.
     pub fenced: bool,
     /// It has never seen any term and holds nothing: a start may be planned for it, and is
@@ -203,6 +205,7 @@
             since: now,
             rented: now,
             newest: (0, 0),
+            token: Token::default(),
             fenced: false,
             fresh: false,
             rung: None,
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+pub use commands::Direct;
 pub use intern::{ImageId, Images, Kind, KindId, Kinds};
 pub use job::{Job, Place};
 pub use machine::{Drain, Durable, Listed, Machine, Phase, Slot, SlotId, Stop};
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -8,7 +8,7 @@
 use super::machine::{Drain, Durable, Machine, Phase, Slot, SlotId};
 use super::{build_named, Cluster, Place};
 use crate::config::secs;
-use crate::model::{Attempt, JobId, MachineId, TaskId, Verdict};
+use crate::model::{Attempt, JobId, MachineId, TaskId, Token, Verdict};
 use crate::wire::{Cause, Order, Report, TaskPhase};
 
 /// Distinct jobs that fail on a machine before it is given up. One job alone may be at fault
@@ -30,9 +30,6 @@
 /// How long a task waits after a refused start, until the picture is right again.
 const REST_AFTER_REFUSAL_S: f64 = 3.0;
 
-/// Results left on a machine so that clearing one makes it report at once.
-const MOST_BELLS: usize = 2;
-
 /// A report whose (session, number) was compared with what we have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verified {
@@ -48,7 +45,8 @@
     /// Takes a report. `own` marks one that the worker sent by itself: only such a report
     /// shows what became of starts sent in the answer to the one before.
     pub fn report(&mut self, report: &Report, own: bool, now: Instant) -> Verified {
-        if report.token > self.term.0 {
+        let token = Token(report.token);
+        if token.term() > self.term {
             return Verified::Deposed;
         }
         let id = MachineId(report.machine.as_str().into());
@@ -93,7 +91,8 @@
             self.dirty = true;
         }
         machine.leaves = leaves;
-        machine.fenced = report.token == self.term.0;
+        machine.fenced = token.term() == self.term;
+        machine.token = machine.token.max(token).max(Token::first(self.term));
         let fenced = machine.fenced;
         let was_fresh = machine.fresh;
         machine.fresh = report.token == 0 && report.tasks.is_empty();
@@ -363,10 +362,13 @@
     }
 
     /// Notes that a machine gets a 200 of ours, whatever it is told: its lease may be renewed.
-    pub fn touch(&mut self, id: &MachineId, now: Instant) {
-        if let Some(machine) = self.machines.get_mut(id) {
+    /// The token it is answered with.
+    pub fn touch(&mut self, id: &MachineId, now: Instant) -> Token {
+        let first = Token::first(self.term);
+        self.machines.get_mut(id).map_or(first, |machine| {
             machine.answered = Some(now);
-        }
+            machine.token.max(first)
+        })
     }
 
     /// What a machine is told in the answer to its newest report. Starts go out here only:
@@ -379,7 +381,6 @@
         machine.answered = Some(now);
         let (session, seq) = machine.newest;
         let can_start = machine.can_start(now, self.timing.quiet);
-        let mut bells = 0;
         for (slot, state) in &mut machine.slots {
             let job = self.jobs.get(&slot.task.job);
             if let Phase::Exited(cause) = state.phase {
@@ -387,10 +388,7 @@
                     && job.is_some_and(|job| {
                         job.verdict == Verdict::Accepted && !job.done.is_durable(slot.task.index)
                     });
-                // A result that is safe may stay: it is the bell that brings a report at once.
-                let bell = cause == Cause::Done && bells < MOST_BELLS;
-                bells += usize::from(bell && !keep);
-                if !keep && !bell {
+                if !keep {
                     orders.push(Order::Clear {
                         task: slot.task.to_string(),
                         attempt: slot.attempt.0,
--- a/src/model.rs
+++ b/src/model.rs
@@ -109,6 +109,33 @@
 )]
 pub struct Term(pub u64);
 
+/// What workers compare to tell who may command them: a term, and a count within it. A leader
+/// may raise the count for one machine, which makes the worker report at once; another term's
+/// tokens are all lower or all higher.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token(pub u64);
+
+impl Token {
+    /// Bits of the count. A machine's token is raised a few times a minute at most.
+    const COUNT_BITS: u32 = 20;
+
+    /// The first token of a term.
+    pub fn first(term: Term) -> Self {
+        Self(term.0 << Self::COUNT_BITS)
+    }
+
+    /// The term it belongs to.
+    pub fn term(self) -> Term {
+        Term(self.0 >> Self::COUNT_BITS)
+    }
+
+    /// The next one of the same term, if there is one left.
+    pub fn raised(self) -> Option<Self> {
+        let next = Self(self.0 + 1);
+        (next.term() == self.term()).then_some(next)
+    }
+}
+
 /// How tasks of a job belong together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Shape {
@@ -323,3 +350,25 @@
     /// Its user cancelled it.
     Cancelled,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Terms must stay apart whatever the counts: a worker knows tokens only by their size.
+    #[test]
+    fn tokens_of_a_later_term_are_higher_than_all_of_an_earlier_one() {
+        let mut last = Token::first(Term(3));
+        for _ in 0..5 {
+            last = last.raised().unwrap();
+        }
+        assert_eq!(last.term(), Term(3));
+        assert!(last > Token::first(Term(3)) && last < Token::first(Term(4)));
+        let end = Token(Token::first(Term(4)).0 - 1);
+        assert_eq!(
+            end.raised(),
+            None,
+            "a term's tokens end before the next term's begin"
+        );
+    }
+}
