Direct commands close their sockets; idle machines go when arrivals stop; guarantees at once

(2) After the last arrival idle machines were kept for minutes: they are now kept less the longer no job of their classes comes. (3) Same-rank stops for a guarantee hit gangs that use no cards; a guarantee is now claimed by and taken from only what uses what is guaranteed, no further than what is beyond it, and at once where there is an aim on it.

--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -7,6 +7,7 @@
 
 use actix::prelude::*;
 use awc::Client;
+use tokio::sync::Semaphore;
 use tracing::{debug, info};
 
 use crate::cluster::{Direct, RecordWrite, Verified};
@@ -67,6 +68,7 @@
             http: self.http.clone(),
             shortages: self.shortages.clone(),
             writes_rest_until: Shelf::default(),
+            at_once: Semaphore::new(self.shared.direct_limit()),
         };
         actix::spawn(Rc::new(rounds).run());
     }
@@ -78,6 +80,8 @@
     http: Client,
     shortages: Shortages,
     writes_rest_until: Shelf<Option<Instant>>,
+    /// Direct commands under way, each with a socket.
+    at_once: Semaphore,
 }
 
 impl Rounds {
@@ -170,11 +174,17 @@
             address,
             body,
         } = direct;
+        // What waits here waits for its machine's report as well, whichever comes first.
+        let Ok(_permit) = self.at_once.acquire().await else {
+            return;
+        };
         debug_assert!(!body.orders.iter().any(|o| matches!(o, Order::Run { .. })));
         let sent = self
             .http
             .post(format!("http://{address}/orders"))
             .timeout(ORDER_LIMIT)
+            // Kept open, these would take a socket a machine beside the machine's own.
+            .force_close()
             .content_type(wire::CBOR)
             .send_body(wire::encode(&body))
             .await;
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -558,4 +558,4 @@
 /// Returned machines remembered. Their late reports come within minutes, not days.
 const DEPARTED_KEPT: usize = 4096;
 /// How long submissions are remembered for the expected demand.
-const ARRIVALS_KEPT: Duration = Duration::from_secs(180);
+pub const ARRIVALS_KEPT: Duration = Duration::from_secs(180);
--- a/src/config.rs
+++ b/src/config.rs
@@ -81,13 +81,15 @@
 /// One of the operators' aims on starting and finishing.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Objective {
-    /// `wait`, `finished` or `deadline`.
+    /// `wait`, `finished`, `deadline` or `guarantee`; others are none of our business.
     pub kind: String,
     /// The class of jobs it speaks of.
     #[serde(default)]
     pub class: String,
     /// The time allowed, where the kind has one.
     pub within_s: Option<f64>,
+    /// How many times its deadline a job may take, where the kind is `deadline`.
+    pub times: Option<f64>,
 }
 
 /// The workers' timing.
--- a/src/fleet/idle.rs
+++ b/src/fleet/idle.rs
@@ -1,13 +1,21 @@
 //! Idle machines whose keeping costs more than a new one likely would.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use super::{Market, Offer, Thrift};
-use crate::cluster::{build_named, Cluster, KindId, Machine};
-use crate::model::{Build, MachineId};
+use crate::cluster::{build_named, Cluster, Kind, KindId, Machine, ARRIVALS_KEPT};
+use crate::model::{Build, JobSpec, MachineId};
 use crate::sched::Policy;
 
+/// Arrivals needed to say anything about the time between them.
+const LEAST_ARRIVALS: usize = 5;
+/// Mean times between arrivals without any, after which it is doubted that more come (for
+/// random arrivals this happens by chance one time in fifty), and after which it is given up
+/// (one in four hundred).
+const DOUBT_AFTER: f64 = 4.0;
+const OVER_AFTER: f64 = 6.0;
+
 /// How much shorter a machine is kept idle that serves only classes which can wait for a boot.
 const PATIENT_KEEP: f64 = 0.6;
 /// How much longer a machine is kept idle that serves a class which has to start promptly: it
@@ -19,6 +27,7 @@
     cluster: &Cluster,
     kept: &HashSet<MachineId>,
     leaving: &HashSet<MachineId>,
+    demand: &Demand,
     policy: &Policy,
     market: &Market,
     thrift: Thrift,
@@ -26,6 +35,8 @@
 ) -> Vec<(MachineId, &'static str)> {
     let mut idle = Vec::new();
     let prompt_kinds = prompt_kinds(cluster, policy);
+    // What a new leader has not seen arrive may come yet.
+    let young = now.saturating_duration_since(cluster.since) < ARRIVALS_KEPT;
     for machine in cluster.machines.values() {
         let free = machine.reported.is_some()
             && machine.fenced
@@ -49,6 +60,8 @@
             .kind
             .is_some_and(|kind| prompt_kinds.contains(&kind));
         let worth = worth.mul_f64(if prompt { PROMPT_KEEP } else { PATIENT_KEEP });
+        let kind = machine.kind.and_then(|kind| cluster.kinds.get(kind));
+        let worth = worth.mul_f64(kind.map_or(0.0, |kind| demand.of_kind(kind, build, young)));
         if since > worth.mul_f64(thrift.idle_factor) {
             idle.push((machine.id.clone(), "it is idle"));
         }
@@ -56,6 +69,53 @@
     idle
 }
 
+/// How far the jobs of each class still come.
+pub(super) struct Demand<'a>(HashMap<&'a str, (&'a JobSpec, f64)>);
+
+impl<'a> Demand<'a> {
+    /// By the time since the last arrival, against the mean time between two: after several
+    /// times that, it is unlikely that they go on as before.
+    pub(super) fn of(cluster: &'a Cluster, now: Instant) -> Self {
+        let known = now.saturating_duration_since(cluster.since);
+        let mut classes: HashMap<&str, (&JobSpec, usize, Instant)> = HashMap::new();
+        for (at, spec) in &cluster.arrivals {
+            let entry = classes.entry(&spec.class).or_insert((spec, 0, *at));
+            entry.1 += 1;
+            entry.2 = entry.2.max(*at);
+        }
+        let part = |(spec, count, last): (&'a JobSpec, usize, Instant)| {
+            if count < LEAST_ARRIVALS && known < ARRIVALS_KEPT {
+                return (spec, 1.0);
+            }
+            let mean = known.min(ARRIVALS_KEPT).as_secs_f64() / count as f64;
+            let gaps = now.saturating_duration_since(last).as_secs_f64() / mean;
+            let part = 1.0 - (gaps - DOUBT_AFTER) / (OVER_AFTER - DOUBT_AFTER);
+            (spec, part.clamp(0.0, 1.0))
+        };
+        let parts = classes.into_iter();
+        Self(parts.map(|(class, seen)| (class, part(seen))).collect())
+    }
+
+    /// For jobs of a class. Of one that was never seen nothing is known.
+    pub(super) fn of_class(&self, spec: &JobSpec) -> f64 {
+        let known = self.0.get(spec.class.as_str());
+        known.map_or(1.0, |(_, part)| *part)
+    }
+
+    /// For a kind of machine, by the classes that can use it.
+    fn of_kind(&self, kind: &Kind, build: &Build, young: bool) -> f64 {
+        let uses = self.0.values().filter(|(spec, _)| {
+            spec.allows(&kind.build, &kind.zone, kind.spot) && spec.need.fits(&build.room)
+        });
+        let most = uses
+            .map(|(_, part)| *part)
+            .fold(None, |most: Option<f64>, part| {
+                Some(most.map_or(part, |most| most.max(part)))
+            });
+        most.unwrap_or(if young { 1.0 } else { 0.0 })
+    }
+}
+
 /// Kinds of machine that a class which starts promptly has lately asked for.
 fn prompt_kinds(cluster: &Cluster, policy: &Policy) -> HashSet<KindId> {
     let mut kinds = HashSet::new();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -118,9 +118,12 @@
         planner.place_want(want);
     }
     planner.forget_departures();
-    let kept = planner.keep_spare(policy, thrift);
+    let demand = idle::Demand::of(cluster, now);
+    let kept = planner.keep_spare(policy, &demand, thrift);
     let rents = planner.rents();
-    let idle = idle::machines(cluster, &kept, &leaving, policy, market, thrift, now);
+    let idle = idle::machines(
+        cluster, &kept, &leaving, &demand, policy, market, thrift, now,
+    );
     for (id, why) in idle {
         by_reason.entry(why).or_default().push(id);
     }
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use super::idle::Demand;
 use super::{Market, Offer, Thrift};
 use crate::cluster::{Cluster, Machine};
 use crate::model::{Amount, Build, JobSpec, MachineId};
@@ -309,7 +310,12 @@
 
     /// Keeps, and rents, room for what may arrive while a machine would boot, for classes
     /// whose jobs have to start sooner than that. Returns the machines so kept.
-    pub(super) fn keep_spare(&mut self, policy: &Policy, thrift: Thrift) -> HashSet<MachineId> {
+    pub(super) fn keep_spare(
+        &mut self,
+        policy: &Policy,
+        demand: &Demand,
+        thrift: Thrift,
+    ) -> HashSet<MachineId> {
         let cluster = self.cluster;
         let mut kept = HashSet::new();
         let window = self
@@ -333,6 +339,7 @@
             let boot = self.wares[*first].build.boot;
             let expected = tasks / window.as_secs_f64() * boot.as_secs_f64();
             let spare = (expected + SPARE_DEVIATIONS * expected.sqrt()) * thrift.spare_factor;
+            let spare = spare * demand.of_class(spec);
             let mut any = spec.clone();
             any.one_zone = false;
             any.spread = false;
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -31,6 +31,10 @@
     pub aims: HashMap<String, Vec<Duration>>,
     /// Classes that are to start soon, with the time allowed.
     pub prompt: HashMap<String, Duration>,
+    /// Times its deadline that a job may take by the aims, least first.
+    pub deadlines: HashMap<String, Vec<f64>>,
+    /// How soon work within a guarantee is to start, if there is an aim on it.
+    pub guarantee: Option<Duration>,
     /// Zones of the deployment.
     pub zones: Vec<String>,
 }
@@ -40,18 +44,29 @@
     pub fn new(settings: &Settings) -> Self {
         let mut aims: HashMap<String, Vec<Duration>> = HashMap::new();
         let mut prompt: HashMap<String, Duration> = HashMap::new();
+        let mut deadlines: HashMap<String, Vec<f64>> = HashMap::new();
+        let mut guarantee = None;
         for objective in &settings.params.objectives {
-            let Some(within) = objective.within_s.map(crate::config::secs) else {
-                continue;
-            };
             let class = objective.class.clone();
-            if objective.kind == "wait" {
-                let entry = prompt.entry(class).or_insert(within);
-                *entry = within.min(*entry);
-            } else {
-                let times = aims.entry(class).or_default();
-                times.push(within);
-                times.sort();
+            let within = objective.within_s.map(crate::config::secs);
+            match (objective.kind.as_str(), within) {
+                ("wait", Some(within)) => {
+                    let entry = prompt.entry(class).or_insert(within);
+                    *entry = within.min(*entry);
+                }
+                ("finished", Some(within)) => {
+                    let times = aims.entry(class).or_default();
+                    times.push(within);
+                    times.sort();
+                }
+                ("guarantee", Some(within)) => guarantee = Some(within),
+                ("deadline", _) => {
+                    let times = deadlines.entry(class).or_default();
+                    times.push(objective.times.unwrap_or(1.0));
+                    times.sort_by(f64::total_cmp);
+                }
+                // Aims of other kinds say nothing about when a job should start or end.
+                _ => {}
             }
         }
         let teams = settings.params.teams.iter();
@@ -61,6 +76,8 @@
                 .collect(),
             aims,
             prompt,
+            deadlines,
+            guarantee,
             zones: settings.params.zones.clone(),
         }
     }
@@ -77,6 +94,22 @@
         })
     }
 
+    /// Whether a task uses something of which the team is guaranteed an amount.
+    pub fn claims(&self, team: &str, need: &Amount) -> bool {
+        self.teams
+            .get(team)
+            .is_some_and(|t| (t.cpus > 0.0 && need.cpus > 0.0) || (t.gpus > 0.0 && need.gpus > 0.0))
+    }
+
+    /// Whether the team uses more than its guarantee of something that the task uses, too.
+    pub fn beyond(&self, team: &str, sum: &Amount, need: &Amount) -> bool {
+        self.teams.get(team).is_some_and(|t| {
+            let over = |sum: f64, own: f64, need: f64| need > 0.0 && sum > own;
+            let managed = t.cpus > 0.0 || t.cpus_max > 0.0;
+            (managed && over(sum.cpus, t.cpus, need.cpus)) || over(sum.gpus, t.gpus, need.gpus)
+        })
+    }
+
     /// Whether `sum` is within what the team is guaranteed.
     pub fn within_guarantee(&self, team: &str, sum: &Amount) -> bool {
         self.teams.get(team).is_some_and(|t| {
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -10,7 +10,7 @@
 
 /// A job that waited this long goes first within its priority, whatever else: nothing starves.
 const OLD: Duration = Duration::from_secs(600);
-/// A deadline missed by up to this part of the time allowed still counts for something.
+/// Without an aim on it, a deadline missed by up to this much still counts for something.
 const GRACE_PART: f64 = 1.5;
 
 /// A job with its place in the order.
@@ -32,7 +32,14 @@
 /// aims allow its class.
 fn targets(job: &Job, policy: &Policy) -> Vec<Instant> {
     if let Some(due) = job.spec.due_s.map(crate::config::secs) {
-        return vec![job.submitted + due, job.submitted + due.mul_f64(GRACE_PART)];
+        let times = policy
+            .deadlines
+            .get(&job.spec.class)
+            .map_or(&[1.0, GRACE_PART][..], |t| t);
+        return times
+            .iter()
+            .map(|times| job.submitted + due.mul_f64(*times))
+            .collect();
     }
     let aims = policy.aims.get(&job.spec.class);
     let prompt = policy.prompt.get(&job.spec.class);
@@ -72,7 +79,8 @@
         entries.push(Entry {
             job,
             pending,
-            guaranteed: policy.within_guarantee(&job.spec.team, sum),
+            guaranteed: policy.claims(&job.spec.team, &job.spec.need)
+                && policy.within_guarantee(&job.spec.team, sum),
             target,
             missed,
         });
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -16,14 +16,25 @@
 const LEAST_PATIENCE_S: f64 = 12.0;
 /// Time for a stop to reach a machine by way of its report, when the direct way is lost.
 const STOP_ARRIVES: Duration = Duration::from_secs(3);
-/// How long a job within its team's guarantee waits for room to come free by itself before
-/// another team's work of the same rank is stopped for it: what is stopped is often lost.
+/// Where no aim says how soon work within a guarantee is to start: how long it waits for room
+/// to come free by itself before another team's work of the same rank is stopped for it. What
+/// is stopped is often lost.
 const GUARANTEE_PATIENCE: Duration = Duration::from_secs(60);
 
 /// Claimants for which a round looks for victims; the first ones in order go first, and the
 /// next round goes on from what was stopped for them.
 const MOST_CLAIMS: u32 = 12;
 
+/// Whether a job within its team's guarantee takes it back from other teams now.
+fn claims_guarantee(policy: &Policy, claimant: &Entry, now: Instant) -> bool {
+    let waited = now.saturating_duration_since(claimant.job.submitted);
+    let patience = match policy.guarantee {
+        Some(within) => within.saturating_sub(crate::config::secs(LEAST_PATIENCE_S)),
+        None => GUARANTEE_PATIENCE,
+    };
+    claimant.guaranteed && waited >= patience
+}
+
 /// What the claimant may stop.
 fn may_stop(
     cluster: &Cluster,
@@ -44,10 +55,9 @@
     let beyond = used.get(victim.spec.team.as_str()).is_some_and(|sum| {
         let mut rest = *sum;
         rest.sub(&victim.spec.need);
-        !policy.within_guarantee(&victim.spec.team, &rest)
+        policy.beyond(&victim.spec.team, &rest, &victim.spec.need)
     });
-    let waited = now.saturating_duration_since(claimant.job.submitted);
-    claimant.guaranteed && waited > GUARANTEE_PATIENCE && other_team && beyond
+    other_team && beyond && claims_guarantee(policy, claimant, now)
 }
 
 /// What stopping a task throws away, in seconds of work.
@@ -74,7 +84,12 @@
     let age = now.saturating_duration_since(claimant.job.submitted);
     let within = policy.prompt.get(&spec.class);
     let left = within.map_or(Duration::ZERO, |within| within.saturating_sub(age));
-    left.as_secs_f64().max(LEAST_PATIENCE_S)
+    let patience = left.as_secs_f64().max(LEAST_PATIENCE_S);
+    match policy.guarantee {
+        // Half of it goes by in stopping and starting.
+        Some(within) if claimant.guaranteed => patience.min(within.as_secs_f64() / 2.0),
+        _ => patience,
+    }
 }
 
 /// Finds victims for jobs that found no room, highest first.
@@ -95,7 +110,7 @@
     }
     let lowest = cluster.jobs.values().filter(|j| j.placed());
     let lowest = lowest.map(|j| j.spec.rank).min();
-    let used = cluster.team_use();
+    let mut used = staying_use(cluster);
     let mut promised: BTreeMap<MachineId, Amount> = BTreeMap::new();
     for start in &decisions.starts {
         if let Some(job) = cluster.jobs.get(&start.job) {
@@ -111,8 +126,7 @@
     let mut looks = MOST_CLAIMS;
     for (claimant, tasks) in wanting {
         let by_rank = lowest.is_some_and(|rank| rank < claimant.job.spec.rank);
-        let waited = now.saturating_duration_since(claimant.job.submitted);
-        let by_guarantee = claimant.guaranteed && waited > GUARANTEE_PATIENCE;
+        let by_guarantee = claims_guarantee(policy, claimant, now);
         if !by_rank && !by_guarantee {
             continue;
         }
@@ -122,7 +136,14 @@
         looks -= 1;
         let spec = &claimant.job.spec;
         let patience = patience(policy, claimant, now);
-        if departures.serve(&rooms, spec, *tasks, patience) == *tasks {
+        let served = departures.serve(&rooms, spec, *tasks, patience);
+        // A gang gains nothing by room for a part of it.
+        let tasks = if claimant.job.gang() && served < *tasks {
+            *tasks
+        } else {
+            *tasks - served
+        };
+        if tasks == 0 {
             continue;
         }
         // Room in two zones is of no use to a job bound to one.
@@ -140,17 +161,17 @@
                 promised: &promised,
                 taken: &taken,
             };
-            search.way(zone.as_deref(), *tasks)
+            search.way(zone.as_deref(), tasks)
         });
         let best = ways.min_by(|a, b| b.ready.cmp(&a.ready).then(a.cost.total_cmp(&b.cost)));
-        // A gang gains nothing by room for a part of it.
-        let whole = |way: &Way| !claimant.job.gang() || way.ready == *tasks;
+        let whole = |way: &Way| !claimant.job.gang() || way.ready == tasks;
         let Some(way) = best.filter(whole) else {
             continue;
         };
         for (machine, sum) in way.promised {
             promised.insert(machine, sum);
         }
+        used = way.used;
         for (machine, slot) in way.victims {
             halt(cluster, decisions, &machine, &slot, "preempted");
             // Its room is the claimant's now: it must not be counted for another.
@@ -159,9 +180,27 @@
     }
 }
 
+/// What teams use without what is about to stop: only as much is taken from a team as it has
+/// beyond its guarantee.
+fn staying_use(cluster: &Cluster) -> HashMap<&str, Amount> {
+    let mut used = cluster.team_use();
+    for machine in cluster.machines.values().filter(|m| m.restless()) {
+        for slot in machine.slots.values() {
+            let stops = slot.occupies() && slot.stop.is_some();
+            let Some(spec) = slot.spec.as_ref().filter(|_| stops) else {
+                continue;
+            };
+            if let Some(sum) = used.get_mut(spec.team.as_str()) {
+                sum.sub(&spec.need);
+            }
+        }
+    }
+    used
+}
+
 /// Stops that make room for a job's tasks.
-#[derive(Default)]
-struct Way {
+struct Way<'a> {
+    used: HashMap<&'a str, Amount>,
     ready: u32,
     cost: f64,
     victims: Vec<(MachineId, SlotId)>,
@@ -169,42 +208,60 @@
 }
 
 /// What is looked at for one claimant.
-struct Search<'a> {
+struct Search<'a, 'b> {
     view: View<'a>,
-    used: &'a HashMap<&'a str, Amount>,
-    claimant: &'a Entry<'a>,
-    rooms: &'a Rooms<'a>,
-    promised: &'a BTreeMap<MachineId, Amount>,
-    taken: &'a HashSet<(MachineId, SlotId)>,
+    used: &'b HashMap<&'a str, Amount>,
+    claimant: &'b Entry<'a>,
+    rooms: &'b Rooms<'a>,
+    promised: &'b BTreeMap<MachineId, Amount>,
+    taken: &'b HashSet<(MachineId, SlotId)>,
 }
 
-impl Search<'_> {
+impl<'a> Search<'a, '_> {
     /// The cheapest stops that make room for up to `tasks` tasks in a zone, or anywhere.
-    fn way(&self, zone: Option<&str>, tasks: u32) -> Option<Way> {
+    fn way(&self, zone: Option<&str>, tasks: u32) -> Option<Way<'a>> {
         let spec = &self.claimant.job.spec;
         let kinds = self.rooms.kinds_for(spec, zone);
-        let mut way = Way::default();
+        let mut way = Way {
+            used: self.used.clone(),
+            ready: 0,
+            cost: 0.0,
+            victims: Vec::new(),
+            promised: BTreeMap::new(),
+        };
         let mut taken: HashSet<(MachineId, SlotId)> = HashSet::new();
         let mut options: BinaryHeap<Reverse<Choice>> = BinaryHeap::new();
         let rooms = self.rooms.all.iter().enumerate();
         for (at, room) in rooms.filter(|(_, room)| kinds.contains(&room.kind)) {
-            options.extend(self.choice(at, room.machine, &way.promised, &taken));
+            options.extend(self.choice(at, room.machine, &way, &taken));
         }
         while way.ready < tasks {
             let Some(Reverse(best)) = options.pop() else {
                 break;
             };
             let machine = self.rooms.all[best.at].machine;
+            // What was taken meanwhile may leave a team without anything beyond its guarantee.
+            match self.choice(best.at, machine, &way, &taken) {
+                Some(Reverse(now)) if now.victims == best.victims => {}
+                changed => {
+                    options.extend(changed);
+                    continue;
+                }
+            }
             way.ready += 1;
             way.cost += best.cost;
             let before = self.promised.get(&machine.id).copied();
             let sum = way.promised.entry(machine.id.clone());
             sum.or_insert(before.unwrap_or_default()).add(&spec.need);
             for slot in best.victims {
+                let job = self.view.cluster.jobs.get(&slot.task.job);
+                if let Some(sum) = job.and_then(|job| way.used.get_mut(job.spec.team.as_str())) {
+                    sum.sub(&job.map_or(Amount::default(), |job| job.spec.need));
+                }
                 taken.insert((machine.id.clone(), slot.clone()));
                 way.victims.push((machine.id.clone(), slot));
             }
-            options.extend(self.choice(best.at, machine, &way.promised, &taken));
+            options.extend(self.choice(best.at, machine, &way, &taken));
         }
         (way.ready > 0).then_some(way)
     }
@@ -213,13 +270,16 @@
         &self,
         at: usize,
         machine: &Machine,
-        promised: &BTreeMap<MachineId, Amount>,
+        way: &Way,
         taken: &HashSet<(MachineId, SlotId)>,
     ) -> Option<Reverse<Choice>> {
-        let sum = promised.get(&machine.id).or(self.promised.get(&machine.id));
+        let sum = way
+            .promised
+            .get(&machine.id)
+            .or(self.promised.get(&machine.id));
         let leaves = |key: &(MachineId, SlotId)| taken.contains(key) || self.taken.contains(key);
         let sum = sum.copied().unwrap_or_default();
-        let (cost, victims) = victims_on(self, machine, sum, leaves)?;
+        let (cost, victims) = victims_on(self, &way.used, machine, sum, leaves)?;
         Some(Reverse(Choice { cost, at, victims }))
     }
 }
@@ -257,6 +317,7 @@
 /// already or stops under way make it.
 fn victims_on(
     search: &Search,
+    used: &HashMap<&str, Amount>,
     machine: &Machine,
     promised: Amount,
     leaves: impl Fn(&(MachineId, SlotId)) -> bool,
@@ -266,7 +327,7 @@
         policy,
         now,
     } = search.view;
-    let Search { used, claimant, .. } = search;
+    let claimant = search.claimant;
     let build = build_named(cluster.catalog(), &machine.build)?;
     let need = &claimant.job.spec.need;
     let mut free = build.room;
--- a/src/service.rs
+++ b/src/service.rs
@@ -159,6 +159,8 @@
 /// Part of the sockets that users' and workers' connections may take; the rest is for our
 /// own to the state service, the cloud, the workers and the peers.
 const PUBLIC_PART: f64 = 0.7;
+/// Part for direct commands to workers.
+const DIRECT_PART: f64 = 0.05;
 /// Part of those at which users' connections are closed after each answer: beyond the limit
 /// none is accepted, and workers must not be shut out by users who keep theirs open.
 const CROWDED_PART: f64 = 0.6;
@@ -219,6 +221,12 @@
         (sockets * PUBLIC_PART).max(1.0) as usize
     }
 
+    /// Most direct commands under way at once.
+    pub fn direct_limit(&self) -> usize {
+        let sockets = self.settings.params.resources.max_sockets as f64;
+        (sockets * DIRECT_PART).max(1.0) as usize
+    }
+
     /// Whether connections run short, so that users' must not be kept open.
     pub fn crowded(&self) -> bool {
         let open = self.connections.load(Ordering::Relaxed);
