Only work beyond a guarantee is stopped for another team's guarantee

Cause: same-rank stops for a guarantee took any task of a team that uses more than its own, also of jobs that are themselves within it, whose starts then no longer count.

--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -224,7 +224,7 @@
     let claims = allocate::claims(view);
     let ordered = order::order(cluster, policy, now);
     let mut wanting = Vec::new();
-    for entry in &ordered {
+    for entry in &ordered.entries {
         let job = entry.job;
         let id = &job.spec.id;
         let why = if cluster.blocked(job) {
@@ -261,7 +261,7 @@
             wanting.push((entry, short.tasks));
         }
     }
-    preempt::preempt(cluster, policy, &wanting, &mut decisions, now);
+    preempt::preempt(view, &ordered, &wanting, &mut decisions);
     preempt::leave_noticed(cluster, &mut decisions, now);
     decisions
 }
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -1,12 +1,12 @@
 //! The order in which jobs are considered.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use super::Policy;
 use crate::cluster::{Cluster, Job};
-use crate::model::{Amount, Rank};
+use crate::model::{Amount, JobId, Rank};
 
 /// A job that waited this long goes first within its priority, whatever else: nothing starves.
 const OLD: Duration = Duration::from_secs(600);
@@ -28,6 +28,15 @@
     pub missed: usize,
 }
 
+/// All that is open, first things first.
+#[derive(Debug)]
+pub struct Ordered<'a> {
+    /// Jobs with unplaced tasks.
+    pub entries: Vec<Entry<'a>>,
+    /// All jobs within their teams' guarantees, those without unplaced tasks as well.
+    pub guaranteed: HashSet<&'a JobId>,
+}
+
 /// The times by which a job should be over, first things first: its deadline, else what the
 /// aims allow its class.
 fn targets(job: &Job, policy: &Policy) -> Vec<Instant> {
@@ -62,15 +71,21 @@
 }
 
 /// Open jobs with unplaced tasks, first things first.
-pub fn order<'a>(cluster: &'a Cluster, policy: &Policy, now: Instant) -> Vec<Entry<'a>> {
+pub fn order<'a>(cluster: &'a Cluster, policy: &Policy, now: Instant) -> Ordered<'a> {
     let mut jobs: Vec<&Job> = cluster.jobs.values().filter(|job| job.open()).collect();
     jobs.sort_by_key(|job| job.submitted);
     let mut sums: HashMap<&str, Amount> = HashMap::new();
+    let mut guaranteed = HashSet::new();
     let mut entries: Vec<Entry> = Vec::with_capacity(jobs.len());
     for job in jobs {
         let sum = sums.entry(job.spec.team.as_str()).or_default();
         let unfinished = job.spec.tasks - job.done.len();
         sum.add(&job.spec.need.times(unfinished));
+        let within = policy.claims(&job.spec.team, &job.spec.need)
+            && policy.within_guarantee(&job.spec.team, sum);
+        if within {
+            guaranteed.insert(&job.spec.id);
+        }
         let pending = job.pending_count();
         if pending == 0 {
             continue;
@@ -79,8 +94,7 @@
         entries.push(Entry {
             job,
             pending,
-            guaranteed: policy.claims(&job.spec.team, &job.spec.need)
-                && policy.within_guarantee(&job.spec.team, sum),
+            guaranteed: within,
             target,
             missed,
         });
@@ -88,7 +102,10 @@
     // A guarantee is a claim against other teams; alone, a team's jobs go by their targets.
     let contested = sums.len() > 1;
     entries.sort_by_cached_key(|entry| key(entry, contested, now));
-    entries
+    Ordered {
+        entries,
+        guaranteed,
+    }
 }
 
 type Key = (Reverse<Rank>, bool, bool, usize, Duration, Instant);
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::allocate;
-use super::order::Entry;
+use super::order::{Entry, Ordered};
 use super::rooms::{Departures, Rooms};
 use super::{Decisions, Halt, Policy, View};
 use crate::cluster::{build_named, Cluster, Drain, Job, Machine, Phase, Slot, SlotId};
@@ -36,14 +36,13 @@
 }
 
 /// What the claimant may stop.
-fn may_stop(
-    cluster: &Cluster,
-    policy: &Policy,
-    used: &HashMap<&str, Amount>,
-    claimant: &Entry,
-    victim: &Job,
-    now: Instant,
-) -> bool {
+fn may_stop(search: &Search, used: &HashMap<&str, Amount>, victim: &Job) -> bool {
+    let View {
+        cluster,
+        policy,
+        now,
+    } = search.view;
+    let claimant = search.claimant;
     if cluster.blocked(victim) || victim.stopping {
         return false;
     }
@@ -57,7 +56,9 @@
         rest.sub(&victim.spec.need);
         policy.beyond(&victim.spec.team, &rest, &victim.spec.need)
     });
-    other_team && beyond && claims_guarantee(policy, claimant, now)
+    // What is itself within the guarantee is not what its team has beyond it.
+    let guaranteed = search.guaranteed.contains(&victim.spec.id);
+    other_team && beyond && !guaranteed && claims_guarantee(policy, claimant, now)
 }
 
 /// What stopping a task throws away, in seconds of work.
@@ -94,17 +95,16 @@
 
 /// Finds victims for jobs that found no room, highest first.
 pub fn preempt(
-    cluster: &Cluster,
-    policy: &Policy,
+    view: View,
+    ordered: &Ordered,
     wanting: &[(&Entry, u32)],
     decisions: &mut Decisions,
-    now: Instant,
 ) {
-    let view = View {
+    let View {
         cluster,
         policy,
         now,
-    };
+    } = view;
     if wanting.is_empty() {
         return;
     }
@@ -156,6 +156,7 @@
             let search = Search {
                 view,
                 used: &used,
+                guaranteed: &ordered.guaranteed,
                 claimant,
                 rooms: &rooms,
                 promised: &promised,
@@ -211,6 +212,7 @@
 struct Search<'a, 'b> {
     view: View<'a>,
     used: &'b HashMap<&'a str, Amount>,
+    guaranteed: &'b HashSet<&'a JobId>,
     claimant: &'b Entry<'a>,
     rooms: &'b Rooms<'a>,
     promised: &'b BTreeMap<MachineId, Amount>,
@@ -322,11 +324,7 @@
     promised: Amount,
     leaves: impl Fn(&(MachineId, SlotId)) -> bool,
 ) -> Option<(f64, Vec<SlotId>)> {
-    let View {
-        cluster,
-        policy,
-        now,
-    } = search.view;
+    let View { cluster, now, .. } = search.view;
     let claimant = search.claimant;
     let build = build_named(cluster.catalog(), &machine.build)?;
     let need = &claimant.job.spec.need;
@@ -341,7 +339,7 @@
         }
         free.sub(&spec.need);
         let job = cluster.jobs.get(&id.task.job)?;
-        if may_stop(cluster, policy, used, claimant, job, now) {
+        if may_stop(search, used, job) {
             candidates.push((loss(job, slot, now), id, spec.need));
         }
     }
