--- a/src/actors/leader.rs
+++ b/src/actors/leader.rs
@@ -120,7 +120,7 @@
             now,
             SystemTime::now(),
         );
-        cluster.hint(self.shared.told.lock().hints.clone());
+        cluster.hint(&self.shared.told.lock());
         info!(
             term = record.term.0,
             jobs = cluster.jobs.len(),
--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -5,12 +5,13 @@
 use std::time::{Duration, Instant};
 
 use actix::prelude::*;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::Client;
 
 use crate::model::Term;
 use crate::peer::{self, Digest};
-use crate::service::Shared;
+use crate::service::{Neighbours, Said, Shared};
 
 /// Time between two digests. The counts in them are for display.
 const TELL_EVERY: Duration = Duration::from_secs(1);
@@ -55,7 +56,10 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        ctx.run_interval(TELL_EVERY, |actor, _| actor.tell());
+        ctx.run_interval(TELL_EVERY, |actor, _| {
+            actor.tell();
+            actor.ask();
+        });
     }
 }
 
@@ -99,6 +103,34 @@
         }
     }
 
+    /// Asks the others whether they have the state service, while we don't.
+    fn ask(&self) {
+        if self.shared.contact.lock().failing_since.is_none() {
+            *self.shared.neighbours.lock() = Neighbours::default();
+            return;
+        }
+        self.shared.neighbours.lock().asked(Instant::now());
+        for peer in &self.peers {
+            let sent = self
+                .http
+                .get(format!("http://{}{}", peer.address, peer::PULSE))
+                .timeout(TELL_LIMIT)
+                .send();
+            let shared = self.shared.clone();
+            actix::spawn(async move {
+                let said = match sent.await {
+                    Ok(answer) if answer.status().is_success() => Said::Fine,
+                    Ok(_) => Said::Failing,
+                    // Refused by a filter or by a node that is just starting: no sign that we
+                    // are the ones cut off.
+                    Err(SendRequestError::Connect(ConnectError::Io(_))) => Said::Refused,
+                    Err(_) => return,
+                };
+                shared.neighbours.lock().said(said, Instant::now());
+            });
+        }
+    }
+
     fn send(&self, peer: &Peer, body: Vec<u8>) {
         let sent = self
             .http
--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Semaphore;
 use tracing::{debug, info};
 
-use crate::cluster::{Direct, RecordWrite, Verified};
+use crate::cluster::{Direct, RecordWrite, Verified, Way};
 use crate::leader::Lead;
 use crate::model::Token;
 use crate::sched::{self, Short};
@@ -178,6 +178,7 @@
         let Ok(_permit) = self.at_once.acquire().await else {
             return;
         };
+        let asked = Instant::now();
         debug_assert!(!body.orders.iter().any(|o| matches!(o, Order::Run { .. })));
         let sent = self
             .http
@@ -190,6 +191,9 @@
             .await;
         let Ok(mut answer) = sent else {
             debug!(%machine, "no answer to a direct command");
+            if let Some(cluster) = self.shared.cluster.lock().as_mut() {
+                cluster.in_vain(&machine, asked);
+            }
             return;
         };
         let Ok(bytes) = answer.body().limit(wire::BODY_LIMIT).await else {
@@ -201,7 +205,7 @@
         let now = Instant::now();
         if let Some(cluster) = self.shared.cluster.lock().as_mut() {
             if cluster.term == Token(body.token).term() {
-                let verified = cluster.report(&report, false, now);
+                let verified = cluster.report(&report, Way::Asked(asked), now);
                 debug!(%machine, ?verified, "direct command answered");
                 if verified == Verified::Deposed {
                     return;
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -198,6 +198,7 @@
         spec,
         submitted_ms,
         started: false,
+        hosts: None,
     };
     let group = Group {
         when: vec![Condition::new(keys::job(&id), 0)],
--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -6,7 +6,7 @@
 use actix_web::{web, HttpResponse};
 
 use super::{cbor, problem};
-use crate::cluster::Verified;
+use crate::cluster::{Verified, Way};
 use crate::leader::Standing;
 use crate::model::{MachineId, Term, Token};
 use crate::service::Shared;
@@ -59,7 +59,7 @@
     let id = MachineId(report.machine.as_str().into());
     let mut guard = shared.cluster.lock();
     let cluster = guard.as_mut().filter(|cluster| cluster.term == term)?;
-    let verified = cluster.report(report, true, now);
+    let verified = cluster.report(report, Way::Own, now);
     if verified == Verified::Deposed {
         return None;
     }
--- a/src/cluster/commands.rs
+++ b/src/cluster/commands.rs
@@ -3,13 +3,17 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::{Cluster, Durable, Job, Machine, Phase, Slot, SlotId, Timing};
-use crate::model::{JobId, MachineId};
+use super::{Cluster, Job, Machine, Phase, Slot, SlotId, Timing};
+use crate::model::{JobId, MachineId, Token};
 use crate::peer::{Counts, Hint, News};
 use crate::wire::{DirectOrders, Order};
 
 /// A stop is repeated in reports' answers; straight to the machine only after this long.
 const REPEAT_STOP: Duration = Duration::from_secs(2);
+/// A machine that was asked for its report is not asked again sooner.
+const ASK_AGAIN: Duration = Duration::from_secs(3);
+/// Machines asked in one round: each costs about as much as a report.
+const MOST_QUESTIONS: usize = 40;
 
 /// Commands for one machine.
 #[derive(Debug)]
@@ -27,7 +31,7 @@
     /// the machine's next report, since a worker reports at once when its token rises. A start
     /// itself never goes this way.
     pub fn direct_orders(&mut self, now: Instant) -> Vec<Direct> {
-        let mut all = Vec::new();
+        let mut all = self.questions(now);
         for machine in self.machines.values_mut() {
             let wanted = machine.restless() && machine.fenced;
             if !wanted || machine.address.is_empty() {
@@ -55,6 +59,58 @@
         all
     }
 
+    /// Commands without orders, for the sake of their answers: they fence machines that a new
+    /// leader has not heard from, and tell whether what looks like an old report comes from a
+    /// machine that has begun again.
+    fn questions(&mut self, now: Instant) -> Vec<Direct> {
+        let mut all = Vec::new();
+        let first = Token::first(self.term);
+        let again = |at: Option<Instant>| {
+            at.is_none_or(|at| now.saturating_duration_since(at) >= ASK_AGAIN)
+        };
+        for id in &self.unsettled {
+            let Some(machine) = self.machines.get_mut(id) else {
+                continue;
+            };
+            if all.len() == MOST_QUESTIONS {
+                break;
+            }
+            if machine.fenced || machine.address.is_empty() || !again(machine.asked) {
+                continue;
+            }
+            machine.asked = Some(now);
+            all.push(question(machine, machine.newest.0, first));
+        }
+        for machine in self.machines.values_mut() {
+            if !machine.hearing.fine() && again(machine.asked) && !machine.address.is_empty() {
+                // If this arrives, its next report comes at once and ends the doubt.
+                machine.asked = Some(now);
+                all.push(question(machine, machine.newest.0, first));
+                continue;
+            }
+            let Some((session, asked)) = &mut machine.probe else {
+                continue;
+            };
+            if !again(*asked) || machine.address.is_empty() || all.len() >= MOST_QUESTIONS {
+                continue;
+            }
+            *asked = Some(now);
+            let session = *session;
+            all.push(question(machine, session, first));
+        }
+        all
+    }
+
+    /// A command sent then was not answered.
+    pub fn in_vain(&mut self, id: &MachineId, asked: Instant) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            // What was heard since shows more than this.
+            if machine.reported.is_none_or(|at| at < asked) {
+                machine.in_vain += 1;
+            }
+        }
+    }
+
     /// What changed since this was last asked, for the other nodes.
     pub fn news(&mut self) -> News {
         let changed = std::mem::take(&mut self.changed);
@@ -102,6 +158,20 @@
     }
 }
 
+/// A command without orders.
+fn question(machine: &Machine, session: u64, first: Token) -> Direct {
+    Direct {
+        machine: machine.id.clone(),
+        address: machine.address.clone(),
+        body: DirectOrders {
+            token: machine.token.max(first).0,
+            // Sessions begin at one.
+            session: session.max(1),
+            orders: Vec::new(),
+        },
+    }
+}
+
 /// Raises the machine's token if a start waits for its report; whether it did. Workers heed
 /// that once in half a lease only.
 fn ring(machine: &mut Machine, jobs: &BTreeMap<JobId, Job>, timing: &Timing, now: Instant) -> bool {
@@ -113,7 +183,7 @@
     let waits = machine.slots.iter().any(|(slot, state)| {
         let job = jobs.get(&slot.task.job);
         state.phase == Phase::Planned
-            && job.is_some_and(|job| job.open() && job.started == Durable::Yes)
+            && job.is_some_and(|job| job.open() && job.may_send(&machine.id))
     });
     let Some(raised) = machine.token.raised().filter(|_| waits) else {
         return false;
--- a/src/cluster/job.rs
+++ b/src/cluster/job.rs
@@ -18,6 +18,31 @@
     pub attempt: Attempt,
 }
 
+/// Where starts of a job may ever have been sent. On record before the start is, so that a new
+/// leader need not wait for machines on which the job can't be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Sent {
+    /// To these machines at most.
+    Hosts(BTreeSet<MachineId>),
+    /// To any that the job may use.
+    Anywhere,
+}
+
+impl Sent {
+    /// Whether starts may be sent there.
+    pub fn covers(&self, machine: &MachineId) -> bool {
+        match self {
+            Self::Hosts(hosts) => hosts.contains(machine),
+            Self::Anywhere => true,
+        }
+    }
+}
+
+/// Machines named in a job's record at most, and times the record is written for new ones.
+/// Beyond either it says "anywhere": a large array is everywhere soon.
+const MOST_HOSTS: usize = 64;
+const MOST_SENT_WRITES: u32 = 3;
+
 /// A job with all places where tasks of it may be.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -38,6 +63,10 @@
     /// Started in an earlier term: until all machines of that time are settled, tasks of it
     /// may be anywhere.
     pub inherited: bool,
+    /// Where starts of it may ever have been sent, as the record has it.
+    pub sent: Sent,
+    /// Times that this was written.
+    pub sent_writes: u32,
     /// Completed tasks.
     pub done: DoneSet,
     /// Where each task may be. Normally one place a task.
@@ -61,6 +90,31 @@
 }
 
 impl Job {
+    /// What the record should say of where starts were sent, if it does not cover the places
+    /// planned.
+    pub fn sent_due(&self) -> Option<Sent> {
+        let planned = || self.places.values().flatten().map(|place| &place.machine);
+        if planned().all(|machine| self.sent.covers(machine)) {
+            return None;
+        }
+        let Sent::Hosts(hosts) = &self.sent else {
+            return None;
+        };
+        let hosts: BTreeSet<MachineId> = hosts.iter().chain(planned()).cloned().collect();
+        let few = hosts.len() <= MOST_HOSTS && self.sent_writes < MOST_SENT_WRITES;
+        let gang = self.gang() && hosts.len() <= MOST_HOSTS;
+        Some(if few || gang {
+            Sent::Hosts(hosts)
+        } else {
+            Sent::Anywhere
+        })
+    }
+
+    /// Whether a start may be sent to a machine, by the records.
+    pub fn may_send(&self, machine: &MachineId) -> bool {
+        self.started == Durable::Yes && self.sent.covers(machine)
+    }
+
     /// Whether tasks of it may still be started.
     pub fn open(&self) -> bool {
         self.verdict == Verdict::Accepted && self.done.len() < self.spec.tasks
--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -117,6 +117,39 @@
     Return,
 }
 
+/// Whether a machine hears us. Its reports do not show that: answers and commands may be lost
+/// while reports arrive. A token that it has to bring back does.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Hearing {
+    /// The token it has to report before it gets another start, and since when.
+    doubt: Option<(Token, Instant)>,
+}
+
+impl Hearing {
+    /// Whether nothing speaks against it.
+    pub fn fine(&self) -> bool {
+        self.doubt.is_none()
+    }
+
+    /// Something we told it did not show.
+    pub fn doubt(&mut self, token: Token, now: Instant) {
+        self.doubt.get_or_insert((token, now));
+    }
+
+    /// It reported this token.
+    pub fn heard(&mut self, token: Token) {
+        if self.doubt.is_some_and(|(wanted, _)| token >= wanted) {
+            self.doubt = None;
+        }
+    }
+
+    /// Whether it has been in doubt for longer than `limit`.
+    pub fn deaf(&self, now: Instant, limit: Duration) -> bool {
+        self.doubt
+            .is_some_and(|(_, since)| now.saturating_duration_since(since) > limit)
+    }
+}
+
 /// Where a machine stands with the cloud and with us.
 #[derive(Clone, Debug)]
 pub struct Machine {
@@ -145,8 +178,24 @@
     /// It has never seen any term and holds nothing: a start may be planned for it, and is
     /// sent once it is fenced.
     pub fresh: bool,
+    /// The cloud has told of it: a rental's answer or the list. A late copy of a report alone
+    /// is no sign that there is such a machine.
+    pub vouched: bool,
     /// When it was last made to report at once.
     pub rung: Option<Instant>,
+    /// What shows whether it hears us.
+    pub hearing: Hearing,
+    /// A report that looks old may come from a new life of the machine: the session to ask in,
+    /// and when it was last asked.
+    pub probe: Option<(u64, Option<Instant>)>,
+    /// When it was last asked for a report that fences it.
+    pub asked: Option<Instant>,
+    /// Commands sent to it directly, without an answer, since it last spoke.
+    pub in_vain: u32,
+    /// The token that tells its present life from a former one whose reports may yet come.
+    pub life: Token,
+    /// When it was first heard in this term.
+    pub met: Option<Instant>,
     /// When the newest report arrived.
     pub reported: Option<Instant>,
     /// When we last answered 200; its lease can't end before that plus the lease's time.
@@ -208,7 +257,14 @@
             token: Token::default(),
             fenced: false,
             fresh: false,
+            vouched: false,
             rung: None,
+            hearing: Hearing::default(),
+            probe: None,
+            asked: None,
+            in_vain: 0,
+            life: Token::default(),
+            met: None,
             reported: None,
             answered: None,
             leaves: None,
@@ -291,6 +347,7 @@
     /// Whether it may get new tasks.
     pub fn takes_tasks(&self, now: Instant, silence: Duration) -> bool {
         (self.fenced || self.fresh)
+            && self.hearing.fine()
             && self.drain.is_none()
             && !self.returning
             && self.leaves.is_none()
@@ -299,6 +356,15 @@
             && !self.murky()
     }
 
+    /// Something we told it did not show: it gets no starts until it brings back a token that
+    /// it can have only from us, from now on.
+    pub fn doubt(&mut self, now: Instant) {
+        if let Some(raised) = self.token.raised().filter(|_| self.hearing.fine()) {
+            self.token = raised;
+            self.hearing.doubt(raised, now);
+        }
+    }
+
     /// Whether starts may be sent to it now, in the answer to a report.
     pub fn can_start(&self, now: Instant, silence: Duration) -> bool {
         self.fenced && self.rostered == Durable::Yes && self.takes_tasks(now, silence)
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -19,14 +19,14 @@
 
 pub use commands::Direct;
 pub use intern::{ImageId, Images, Kind, KindId, Kinds};
-pub use job::{Job, Place};
-pub use machine::{Drain, Durable, Listed, Machine, Phase, Slot, SlotId, Stop};
+pub use job::{Job, Place, Sent};
+pub use machine::{Drain, Durable, Hearing, Listed, Machine, Phase, Slot, SlotId, Stop};
 pub use records::{RecordKind, RecordWrite};
-pub use report::Verified;
+pub use report::{Verified, Way};
 
 use crate::config::{secs, Settings};
 use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term, Verdict};
-use crate::peer::Hint;
+use crate::peer::{Hint, Told};
 use crate::store::keys;
 use crate::store::replica::Replica;
 use crate::wire::ListedMachine;
@@ -169,9 +169,18 @@
         cluster
     }
 
-    /// Takes what an earlier leader told of the machines.
-    pub fn hint(&mut self, hints: HashMap<MachineId, Hint>) {
-        self.hints = hints;
+    /// Takes what an earlier leader told of the machines. Those that are gone must not come
+    /// back by late copies of their reports.
+    pub fn hint(&mut self, told: &Told) {
+        self.hints = told.hints.clone();
+        for id in &self.unsettled {
+            if let (Some(machine), Some(hint)) = (self.machines.get_mut(id), self.hints.get(id)) {
+                machine.address.clone_from(&hint.address);
+                machine.newest.0 = hint.session;
+            }
+        }
+        let gone = told.gone.iter().filter(|id| !self.unsettled.contains(*id));
+        self.departed.extend(gone.cloned());
     }
 
     /// Takes a new catalog.
@@ -242,6 +251,14 @@
                 Durable::No
             },
             inherited: record.started,
+            sent: match &record.hosts {
+                Some(hosts) => {
+                    Sent::Hosts(hosts.iter().map(|h| MachineId(h.as_str().into())).collect())
+                }
+                None if record.started => Sent::Anywhere,
+                None => Sent::Hosts(BTreeSet::new()),
+            },
+            sent_writes: 0,
             done,
             places: BTreeMap::new(),
             attempt: None,
@@ -262,6 +279,7 @@
             for chunk in 0..job.done.chunks() {
                 self.versions.remove(&keys::done(id, chunk));
             }
+            self.versions.remove(&keys::live(id));
             for machine in self.machines.values_mut().filter(|m| m.restless()) {
                 machine.slots.retain(|slot, state| {
                     // What was never sent needs no memory; the rest stays until it is gone.
@@ -278,9 +296,10 @@
         Attempt::of(self.term, self.attempts)
     }
 
-    /// Whether tasks of the job may be somewhere we have not heard from yet.
+    /// Whether tasks of the job may be somewhere we have not heard from yet: on a machine that
+    /// its record names, or on any that it may use where the record names none.
     pub fn blocked(&self, job: &Job) -> bool {
-        job.inherited && !self.unsettled.is_empty()
+        blocked_by(&self.unsettled, &self.machines, job)
     }
 
     /// What each team may be using at most right now.
@@ -447,6 +466,7 @@
             }
         }
         self.unsettled.remove(id);
+        self.changed.machines.insert(id.clone());
         self.roster.remove(id);
         // Reports of it may still be on their way; they must not bring it back.
         self.departed.insert(id.clone());
@@ -465,6 +485,7 @@
             }
             let machine = self.machines.entry(id.clone());
             let machine = machine.or_insert_with(|| Machine::new(id, now));
+            machine.vouched = true;
             machine.build.clone_from(&offer.build);
             machine.zone.clone_from(&offer.zone);
             machine.spot = offer.spot;
@@ -492,6 +513,7 @@
                 let rented = now.checked_sub(secs(entry.age_s)).unwrap_or(now);
                 machine.rented = rented.min(machine.rented);
             }
+            machine.vouched = true;
             let listed = match entry.status.as_str() {
                 "booting" => Listed::Booting,
                 "failed" => Listed::Failed,
@@ -548,6 +570,25 @@
     }
 }
 
+/// See [`Cluster::blocked`].
+fn blocked_by(
+    unsettled: &BTreeSet<MachineId>,
+    machines: &BTreeMap<MachineId, Machine>,
+    job: &Job,
+) -> bool {
+    if !job.inherited || unsettled.is_empty() {
+        return false;
+    }
+    match &job.sent {
+        Sent::Hosts(hosts) => hosts.iter().any(|host| unsettled.contains(host)),
+        Sent::Anywhere => unsettled.iter().any(|id| {
+            let machine = machines.get(id).filter(|machine| machine.kind.is_some());
+            // Of a machine whose kind nobody told it may be.
+            machine.is_none_or(|m| job.spec.allows(&m.build, &m.zone, m.spot))
+        }),
+    }
+}
+
 /// What the other nodes were not told yet.
 #[derive(Debug, Default)]
 struct Changed {
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::machine::Durable;
-use super::Cluster;
+use super::{Cluster, Sent};
 use crate::model::{JobId, MachineId, Verdict};
 use crate::store::keys::{self, DoneRecord, JobRecord, LiveRecord, RosterRecord};
 use crate::store::replica::{Replica, Versioned};
@@ -88,8 +88,8 @@
 /// What a write is for, so that its outcome can be taken in.
 #[derive(Debug, Clone)]
 pub enum RecordKind {
-    /// The job's started flag.
-    Started(JobId),
+    /// The job's started flag, with where starts may be sent.
+    Started(JobId, Sent),
     /// A chunk of the job's completed tasks.
     Done(JobId, usize, String),
     /// The verdict `done`; the job's other records go with it.
@@ -118,11 +118,11 @@
     /// then undo a newer one.
     pub fn due_writes(&mut self, replica: &Replica) -> Vec<RecordWrite> {
         let mut writes = Vec::new();
-        let unsettled = !self.unsettled.is_empty();
         for (id, job) in &mut self.jobs {
             if job.writing {
                 continue;
             }
+            let blocked = super::blocked_by(&self.unsettled, &self.machines, job);
             let mut when = vec![Condition::new(keys::job(id), job.version)];
             let all_done = job.done.len() == job.spec.tasks;
             let records_go = |job: &super::Job| {
@@ -141,19 +141,29 @@
                     apply.extend(records_go(job));
                     Some((RecordKind::Finished(id.clone()), apply))
                 }
-                Verdict::Cancelled if !(job.placed() || job.inherited && unsettled) => {
+                Verdict::Cancelled if !(job.placed() || blocked) => {
                     Some((RecordKind::Retired(id.clone()), records_go(job)))
                 }
-                Verdict::Accepted if job.placed() && job.started == Durable::No => {
+                Verdict::Accepted if job.sent_due().is_some() => job.sent_due().map(|sent| {
                     let record = LiveRecord {
                         spec: (*job.spec).clone(),
                         submitted_ms: job.submitted_ms,
                         started: true,
+                        hosts: match &sent {
+                            Sent::Hosts(hosts) => {
+                                Some(hosts.iter().map(|h| h.0.to_string()).collect())
+                            }
+                            Sent::Anywhere => None,
+                        },
                     };
-                    job.started = Durable::Writing;
-                    let apply = vec![Change::put(keys::live(id), to_value(&record))];
-                    Some((RecordKind::Started(id.clone()), apply))
-                }
+                    // Like chunks: a late write must not undo a newer one.
+                    let key = keys::live(id);
+                    let own = self.versions.get(&key).copied().unwrap_or(0);
+                    let version = own.max(replica.live_version(id));
+                    when.push(Condition::new(key.clone(), version));
+                    let apply = vec![Change::put(key, to_value(&record))];
+                    (RecordKind::Started(id.clone(), sent), apply)
+                }),
                 Verdict::Accepted => job.done.dirty_chunk().map(|chunk| {
                     let bits = job.done.encode(chunk);
                     let record = DoneRecord { bits: bits.clone() };
@@ -201,6 +211,7 @@
         self.dirty = true;
         if let Outcome::Committed(revision) = outcome {
             let key = match kind {
+                RecordKind::Started(id, _) => Some(keys::live(id)),
                 RecordKind::Done(id, chunk, _) => Some(keys::done(id, *chunk)),
                 RecordKind::Roster(shard, _) => Some(keys::roster(*shard)),
                 _ => None,
@@ -210,10 +221,14 @@
             }
         }
         match kind {
-            RecordKind::Started(id) => {
+            RecordKind::Started(id, sent) => {
                 if let Some(job) = self.jobs.get_mut(id) {
                     job.writing = false;
-                    job.started = if ok { Durable::Yes } else { Durable::No };
+                    if ok {
+                        job.started = Durable::Yes;
+                        job.sent = sent.clone();
+                        job.sent_writes += 1;
+                    }
                 }
             }
             RecordKind::Done(id, chunk, bits) => {
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -5,7 +5,7 @@
 use tracing::{debug, info, warn};
 
 use super::commands::stop_order;
-use super::machine::{Drain, Durable, Machine, Phase, Slot, SlotId};
+use super::machine::{Drain, Hearing, Machine, Phase, Slot, SlotId};
 use super::{build_named, Cluster, Place};
 use crate::config::secs;
 use crate::model::{Attempt, JobId, MachineId, TaskId, Token, Verdict};
@@ -30,6 +30,15 @@
 /// How long a task waits after a refused start, until the picture is right again.
 const REST_AFTER_REFUSAL_S: f64 = 3.0;
 
+/// How a report came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// The worker sent it by itself.
+    Own,
+    /// In answer to a command sent then.
+    Asked(Instant),
+}
+
 /// A report whose (session, number) was compared with what we have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verified {
@@ -42,9 +51,11 @@
 }
 
 impl Cluster {
-    /// Takes a report. `own` marks one that the worker sent by itself: only such a report
-    /// shows what became of starts sent in the answer to the one before.
-    pub fn report(&mut self, report: &Report, own: bool, now: Instant) -> Verified {
+    /// Takes a report. One that the worker sent by itself shows what became of starts sent in
+    /// the answer to the one before, but may be a late copy; one that answers a command of ours
+    /// is as fresh as the command.
+    pub fn report(&mut self, report: &Report, way: Way, now: Instant) -> Verified {
+        let own = way == Way::Own;
         let token = Token(report.token);
         if token.term() > self.term {
             return Verified::Deposed;
@@ -58,10 +69,40 @@
             .entry(id.clone())
             .or_insert_with(|| Machine::new(id.clone(), now));
         let newest = (report.session, report.seq);
-        if machine.reported.is_some() && newest <= machine.newest {
+        // After a new beginning, copies of what the former life said may have higher numbers.
+        let former = own && token < machine.life;
+        if machine.reported.is_some() && (former || newest <= machine.newest) {
+            let asked_since = match way {
+                Way::Own => false,
+                Way::Asked(at) => machine.reported.is_some_and(|reported| at > reported),
+            };
+            if !asked_since || newest == machine.newest {
+                // A late copy, or a machine that begins again at one: asking it tells.
+                if newest < machine.newest && machine.probe.is_none() {
+                    machine.probe = Some((report.session, None));
+                }
+                return Verified::Older;
+            }
+            // Within one life numbers only grow, and this was said after we had the newest.
+            info!(machine = %id, "begins again");
+            self.reborn(&id);
+        }
+        let Some(machine) = self.machines.get_mut(&id) else {
             return Verified::Older;
+        };
+        let rose = machine.reported.is_some() && newest.0 > machine.newest.0;
+        let held = machine
+            .answered
+            .is_some_and(|at| now.saturating_duration_since(at) < self.timing.lease);
+        if rose && held {
+            // Its lease ended although we answered.
+            warn!(machine = %id, "its lease ended though we answered");
+            machine.doubt(now);
         }
         machine.newest = newest;
+        machine.probe = None;
+        machine.in_vain = 0;
+        machine.met.get_or_insert(now);
         if machine.reported.is_none() {
             self.dirty = true;
             machine.idle_since = now;
@@ -92,10 +133,11 @@
         }
         machine.leaves = leaves;
         machine.fenced = token.term() == self.term;
+        machine.hearing.heard(token);
         machine.token = machine.token.max(token).max(Token::first(self.term));
         let fenced = machine.fenced;
         let was_fresh = machine.fresh;
-        machine.fresh = report.token == 0 && report.tasks.is_empty();
+        machine.fresh = report.token == 0 && report.tasks.is_empty() && machine.vouched;
         let was_busy = machine.busy();
         if was_fresh && !report.tasks.is_empty() {
             // What made it look fresh was a late copy: its room is not what it seemed.
@@ -129,7 +171,7 @@
             machine.recount();
         }
         if fenced {
-            self.settle(&id, newest, own, &listed);
+            self.settle(&id, newest, (own, now), &listed);
             if self.unsettled.remove(&id) {
                 self.dirty = true;
                 if self.unsettled.is_empty() {
@@ -146,8 +188,36 @@
         Verified::Newer
     }
 
+    /// The machine runs a new life: whatever was on it went with the old one, and answers to
+    /// the old one's reports can't reach it.
+    fn reborn(&mut self, id: &MachineId) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        machine.answered = None;
+        if let Some(raised) = machine.token.raised() {
+            // The former life never had this one; the new one gets it with the next answer.
+            machine.token = raised;
+            machine.life = raised;
+        }
+        machine.rung = None;
+        machine.hearing = Hearing::default();
+        machine.images.clear();
+        let slots: Vec<SlotId> = machine.slots.keys().cloned().collect();
+        for slot in slots {
+            self.drop_slot(id, &slot);
+        }
+        self.dirty = true;
+    }
+
     /// Removes what a fenced machine's report does not show any more.
-    fn settle(&mut self, id: &MachineId, newest: (u64, u64), own: bool, listed: &[SlotId]) {
+    fn settle(
+        &mut self,
+        id: &MachineId,
+        newest: (u64, u64),
+        (own, now): (bool, Instant),
+        listed: &[SlotId],
+    ) {
         let Some(machine) = self.machines.get(id) else {
             return;
         };
@@ -165,10 +235,18 @@
             })
             .map(|(slot, _)| slot.clone())
             .collect();
+        let lost = gone.iter().any(|slot| {
+            let state = machine.slots.get(slot);
+            state.is_some_and(|state| matches!(state.phase, Phase::Sent { .. }))
+        });
         for slot in gone {
             debug!(machine = %id, task = %slot.task, "gone");
             self.drop_slot(id, &slot);
         }
+        if let Some(machine) = self.machines.get_mut(id).filter(|_| lost) {
+            // An answer of ours did not arrive: the next may not either.
+            machine.doubt(now);
+        }
     }
 
     /// Takes one task of a report.
@@ -412,7 +490,7 @@
             if let Some(order) = stop_order(slot, state, now) {
                 orders.push(order);
             }
-            let durable = job.is_some_and(|job| job.started == Durable::Yes);
+            let durable = job.is_some_and(|job| job.may_send(id));
             if state.phase == Phase::Planned && wanted && durable && can_start {
                 state.phase = Phase::Sent { session, seq };
                 orders.push(Order::Run {
--- a/src/fleet/lost.rs
+++ b/src/fleet/lost.rs
@@ -11,70 +11,99 @@
 const HEARD_PART: f64 = 0.5;
 /// Machines of a zone that must be silent before the zone may count as cut off.
 const LEAST_CUT: usize = 3;
+/// Questions without an answer after which a machine that others wait for is not waited for
+/// any longer than a report may take: its interval and a quarter, finding the new leader, and
+/// some time on the way.
+const VAIN_QUESTIONS: u32 = 2;
+const LATEST_REPORT: f64 = 2.0;
 /// A boot of this many times its nominal time is given up.
 const HOPELESS_BOOT: f64 = 4.0;
 /// A machine listed as running for that long without a report is given up.
 const UNHEARD: Duration = Duration::from_secs(30);
 
-/// Zones most of whose machines are silent at once.
-fn silent_zones<'a>(up: &[&'a Machine], quiet: Duration, now: Instant) -> HashSet<&'a str> {
+/// Whether nothing comes of telling the machine anything: it is silent, or its reports arrive
+/// and show nothing of what it was told.
+fn mute(machine: &Machine, now: Instant, limit: Duration) -> bool {
+    let met_long_ago = machine
+        .met
+        .is_some_and(|met| now.saturating_duration_since(met) > limit);
+    machine.silent(now, limit)
+        || machine.hearing.deaf(now, limit)
+        || (met_long_ago && !machine.fenced)
+}
+
+/// Zones most of whose machines are mute at once: more likely cut off than dead.
+fn mute_zones<'a>(machines: impl Iterator<Item = (&'a Machine, bool)>) -> HashSet<&'a str> {
     let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
-    for machine in up {
-        let (all, silent) = zones.entry(machine.zone.as_str()).or_default();
+    for (machine, mute) in machines {
+        let (all, lost) = zones.entry(machine.zone.as_str()).or_default();
         *all += 1;
-        *silent += usize::from(machine.silent(now, quiet));
+        *lost += usize::from(mute);
     }
     zones
         .into_iter()
-        .filter(|(_, (all, silent))| *silent >= LEAST_CUT && *silent * 2 > *all)
+        .filter(|(_, (all, lost))| *lost >= LEAST_CUT && *lost * 2 > *all)
         .map(|(zone, _)| zone)
         .collect()
 }
 
 /// Machines to be given up whatever the demand.
 pub(super) fn machines(cluster: &Cluster, now: Instant) -> Vec<(MachineId, &'static str)> {
-    let up: Vec<&Machine> = cluster
-        .machines
-        .values()
-        .filter(|m| m.reported.is_some())
-        .collect();
-    let quiet = cluster.timing.quiet;
-    let heard = up.iter().filter(|m| !m.silent(now, quiet)).count();
-    let we_hear = !up.is_empty() && heard as f64 >= up.len() as f64 * HEARD_PART;
+    let timing = &cluster.timing;
     let since_take_over = now.saturating_duration_since(cluster.since);
-    let cut_off = silent_zones(&up, quiet, now);
+    let waited_for = |machine: &Machine| cluster.unsettled.contains(&machine.id);
+    let is_mute = |machine: &Machine| {
+        mute(machine, now, timing.quiet)
+            || (machine.reported.is_none() && since_take_over > timing.quiet)
+    };
+    let known = || {
+        let machines = cluster.machines.values();
+        machines.filter(|machine| machine.reported.is_some() || waited_for(machine))
+    };
+    let (all, heard) = known().fold((0, 0), |(all, heard), machine| {
+        (all + 1, heard + usize::from(!is_mute(machine)))
+    });
+    let we_hear = all > 0 && heard as f64 >= all as f64 * HEARD_PART;
+    let cut_off = mute_zones(known().map(|machine| (machine, is_mute(machine))));
     let mut lost = Vec::new();
     for machine in cluster.machines.values().filter(|m| !m.returning) {
         let id = machine.id.clone();
         let age = now.saturating_duration_since(machine.rented);
         let boot = build_named(cluster.catalog(), &machine.build).map(|build| build.boot);
-        // With nobody heard, only a silence that ends all leases counts.
-        let limit = if we_hear {
-            cluster.timing.lost
-        } else {
-            cluster.timing.lease * 2
-        };
+        let cut = cut_off.contains(machine.zone.as_str());
         let why = if machine.listed == Listed::Failed {
             Some("it failed")
         } else if machine.reported.is_some() {
             // A zone that falls silent as a whole is more likely cut off than dead: its work
-            // goes on for a lease, and its machines need not boot again.
-            let limit = if cut_off.contains(machine.zone.as_str()) {
-                limit.max(cluster.timing.lease * 2)
+            // goes on for a lease, and its machines need not boot again. With nobody heard, it
+            // is more likely us.
+            let limit = if we_hear && !cut {
+                timing.lost
             } else {
-                limit
+                timing.lost.max(timing.lease * 2)
             };
             let drained = machine.drain.is_some() && !machine.busy();
             let by_operator = machine.drain == Some(Drain::Operator);
             if machine.silent(now, limit) {
                 Some("it is silent")
+            } else if mute(machine, now, limit) {
+                Some("it does not hear us")
             } else if drained && !by_operator {
                 Some("it is not fit for work")
             } else {
                 None
             }
-        } else if cluster.unsettled.contains(&machine.id) {
-            // It may hold tasks and hasn't been heard since we took over.
+        } else if waited_for(machine) {
+            // It may hold tasks and hasn't been heard since we took over. Two questions in vain
+            // and a report that should have come are enough where others are heard; in a zone
+            // that is cut off, its tasks live as long as its lease.
+            let alone = machine.in_vain >= VAIN_QUESTIONS;
+            let limit = match (we_hear, cut) {
+                (true, false) if alone => timing.report.mul_f64(LATEST_REPORT),
+                (true, false) => timing.lost,
+                (true, true) => timing.lost.max(timing.lease),
+                (false, _) => timing.lost.max(timing.lease * 2),
+            };
             (since_take_over > limit).then_some("it did not report")
         } else if machine.listed == Listed::Running {
             let unheard = now.saturating_duration_since(machine.listed_since) > UNHEARD;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,7 +1,7 @@
 //! What the nodes tell each other, as `bincode` over HTTP on `peer_bind`. Operators reach
 //! [`crate::api::admin`] on the same address.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Instant;
 
 use actix_web::{web, HttpResponse};
@@ -12,6 +12,8 @@
 
 /// Path of the digest.
 pub const DIGEST: &str = "/peer/digest";
+/// Path of the question whether a node has the state service.
+pub const PULSE: &str = "/peer/pulse";
 /// Content type between the nodes.
 pub const BINCODE: &str = "application/x-bincode";
 /// Largest digest taken: several thousand machines with ten images each, and their jobs.
@@ -68,6 +70,9 @@
     pub images: Vec<(String, f32)>,
 }
 
+/// Machines remembered as gone: late copies of their reports come within minutes.
+const GONE_KEPT: usize = 1024;
+
 /// What a node keeps of the digests.
 #[derive(Debug, Default)]
 pub struct Told {
@@ -77,6 +82,8 @@
     pub counts: HashMap<JobId, (u32, u32)>,
     /// Machines.
     pub hints: HashMap<MachineId, Hint>,
+    /// Machines that are gone, newest last.
+    pub gone: VecDeque<MachineId>,
 }
 
 impl Told {
@@ -88,7 +95,8 @@
             return false;
         }
         if digest.full {
-            *self = Self::default();
+            self.counts.clear();
+            self.hints.clear();
         }
         self.term = digest.term;
         self.number = digest.number;
@@ -99,8 +107,12 @@
             self.counts.remove(id);
         }
         self.hints.extend(digest.news.hints);
-        for id in &digest.news.gone {
-            self.hints.remove(id);
+        for id in digest.news.gone {
+            self.hints.remove(&id);
+            self.gone.push_back(id);
+        }
+        while self.gone.len() > GONE_KEPT {
+            self.gone.pop_front();
         }
         true
     }
@@ -118,6 +130,15 @@
     (read == bytes.len()).then_some(value)
 }
 
+/// Tells a peer that lost the state service whether this node has it.
+pub async fn pulse(shared: web::Data<Shared>) -> HttpResponse {
+    if shared.contact.lock().failing_since.is_none() {
+        HttpResponse::NoContent().finish()
+    } else {
+        HttpResponse::ServiceUnavailable().finish()
+    }
+}
+
 /// Takes a leader's digest.
 pub async fn digest(shared: web::Data<Shared>, body: web::Bytes) -> HttpResponse {
     let Some(digest) = decode::<Digest>(&body) else {
@@ -143,6 +164,7 @@
             .app_data(web::PayloadConfig::new(DIGEST_LIMIT))
             .route(web::post().to(digest)),
     );
+    config.route(PULSE, web::get().to(pulse));
 }
 
 #[cfg(test)]
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -8,8 +8,12 @@
 use crate::cluster::{Cluster, Job};
 use crate::model::{Amount, JobId, Rank};
 
-/// A job that waited this long goes first within its priority, whatever else: nothing starves.
-const OLD: Duration = Duration::from_secs(600);
+/// Every job, the largest too, has to begin within this time of its submission.
+const BEGIN_WITHIN: Duration = Duration::from_secs(240);
+/// A job that waited for this part of it without any start goes first within its priority,
+/// whatever else: the rest of the time is for its room to come free.
+const OLD_PART: u32 = 2;
+
 /// Without an aim on it, a deadline missed by up to this much still counts for something.
 const GRACE_PART: f64 = 1.5;
 
@@ -108,17 +112,31 @@
     }
 }
 
+/// First what has waited for too long, oldest first; then what is guaranteed; then what can
+/// still meet most of its aims, the least work first.
 type Key = (Reverse<Rank>, bool, bool, usize, Duration, Instant);
 
 fn key(entry: &Entry, contested: bool, now: Instant) -> Key {
     let job = entry.job;
     let age = now.saturating_duration_since(job.submitted);
+    if overdue(job, age) {
+        let rank = Reverse(job.spec.rank);
+        return (rank, false, false, 0, Duration::ZERO, job.submitted);
+    }
     (
         Reverse(job.spec.rank),
+        true,
         contested && !entry.guaranteed,
-        age < OLD,
         entry.missed,
         job.spec.estimate() * entry.pending,
         entry.target,
     )
 }
+
+/// Whether nothing of a job was ever started although it has waited for long.
+fn overdue(job: &Job, age: Duration) -> bool {
+    age >= BEGIN_WITHIN / OLD_PART
+        && !job.placed()
+        && job.done.is_empty()
+        && job.first_run.is_none()
+}
--- a/src/service.rs
+++ b/src/service.rs
@@ -48,6 +48,57 @@
     pub failing_since: Option<Instant>,
 }
 
+/// What a peer says of its contact with the state service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Said {
+    /// It has it.
+    Fine,
+    /// It lost it, too.
+    Failing,
+    /// It takes no connection from us.
+    Refused,
+}
+
+/// What the peers said since we lost the state service.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Neighbours {
+    asked: Option<Instant>,
+    fine: Option<Instant>,
+    failing: Option<Instant>,
+    refused: Option<Instant>,
+}
+
+impl Neighbours {
+    /// They were asked; the first time counts.
+    pub fn asked(&mut self, now: Instant) {
+        self.asked.get_or_insert(now);
+    }
+
+    /// One answered.
+    pub fn said(&mut self, said: Said, now: Instant) {
+        match said {
+            Said::Fine => self.fine = Some(now),
+            Said::Failing => self.failing = Some(now),
+            Said::Refused => self.refused = Some(now),
+        }
+    }
+
+    /// Whether it is this node alone that is cut off: another one is fine, or none at all can
+    /// be reached for a while. In an outage that all share none is better than another.
+    pub fn we_alone(&self, now: Instant) -> bool {
+        let recent = |at: Option<Instant>| {
+            at.is_some_and(|at| now.saturating_duration_since(at) < CONTACT_LOST)
+        };
+        if recent(self.fine) {
+            return true;
+        }
+        let waited = self
+            .asked
+            .is_some_and(|at| now.saturating_duration_since(at) >= CONTACT_LOST);
+        waited && !recent(self.failing) && !recent(self.refused)
+    }
+}
+
 /// Operators' settings, kept in the state service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -144,6 +195,8 @@
     pub contact: Shelf<Contact>,
     /// When a peer last told that it is in contact with the state service.
     pub peer_contact: Shelf<Option<Instant>>,
+    /// What the peers say while we lack the state service.
+    pub neighbours: Shelf<Neighbours>,
     /// Operators' settings in force.
     pub operator: Shelf<OperatorSettings>,
     /// Connections open on the public address.
@@ -178,6 +231,7 @@
             cluster: Shelf::default(),
             catalog: Shelf::default(),
             told: Shelf::default(),
+            neighbours: Shelf::default(),
             contact: Shelf::default(),
             peer_contact: Shelf::default(),
             operator: Shelf::default(),
@@ -212,7 +266,8 @@
         let peer = *self.peer_contact.lock();
         let peer_fine = peer.is_some_and(|at| now.saturating_duration_since(at) < CONTACT_LOST);
         let loaded = self.replica.lock().loaded;
-        (loaded && !failing) || !peer_fine
+        let alone = !self.settings.known.is_empty() && self.neighbours.lock().we_alone(now);
+        (loaded && !failing) || !(peer_fine || alone)
     }
 
     /// Most connections taken on the public address.
@@ -293,3 +348,32 @@
         self.wake_round.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The load balancer must be told to go elsewhere by the node that is cut off, and by no
+    /// node in an outage that all share: after it, each would be missed for seconds.
+    #[test]
+    fn only_a_node_that_is_cut_off_alone_says_that_it_takes_no_requests() {
+        let start = Instant::now();
+        let at = |s: u64| start + Duration::from_secs(s);
+        let mut shared = Neighbours::default();
+        shared.asked(start);
+        shared.said(Said::Failing, at(5));
+        assert!(!shared.we_alone(at(6)), "all have lost the state service");
+        shared.said(Said::Fine, at(7));
+        assert!(shared.we_alone(at(8)), "another one has it");
+        let mut lonely = Neighbours::default();
+        assert!(!lonely.we_alone(at(100)), "nobody was asked");
+        lonely.asked(start);
+        assert!(!lonely.we_alone(at(1)), "answers may be on their way");
+        assert!(lonely.we_alone(at(5)), "with its workers only");
+        lonely.said(Said::Refused, at(5));
+        assert!(
+            !lonely.we_alone(at(6)),
+            "a filter between the nodes proves nothing"
+        );
+    }
+}
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -120,6 +120,9 @@
     pub submitted_ms: u64,
     /// Whether any start of a task of it may have been sent.
     pub started: bool,
+    /// To which machines at most; nothing: to any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hosts: Option<Vec<String>>,
 }
 
 /// Record below [`done`]: a bit a task, four to the hexadecimal digit.
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -171,6 +171,11 @@
         self.jobs.get(id).map_or(0, |job| job.version)
     }
 
+    /// The version of a job's description; 0: there is none.
+    pub fn live_version(&self, id: &JobId) -> u64 {
+        self.live.get(id).map_or(0, |live| live.version)
+    }
+
     /// The version of a chunk of completed tasks; 0: there is none.
     pub fn done_version(&self, id: &JobId, chunk: usize) -> u64 {
         let kept = self.done.get(&(id.clone(), chunk));
--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -288,6 +289,9 @@
 #[derive(Clone, Default)]
 pub struct Cloud {
     machines: Arc<Mutex<BTreeMap<String, String>>>,
+    /// Where each task is, and how often one was started while it was on another machine.
+    places: Arc<Mutex<BTreeMap<String, String>>>,
+    twice: Arc<AtomicUsize>,
     nodes: Arc<Mutex<Vec<String>>>,
 }
 
@@ -311,6 +315,26 @@
         address
     }
 
+    /// How often a task was started on one machine while it was on another.
+    pub fn ran_twice(&self) -> usize {
+        self.twice.load(Ordering::Relaxed)
+    }
+
+    fn starts(&self, task: &str, machine: &str) {
+        let mut places = self.places.lock().unwrap();
+        let before = places.insert(task.to_owned(), machine.to_owned());
+        if before.is_some_and(|before| before != machine) {
+            self.twice.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn leaves(&self, task: &str, machine: &str) {
+        let mut places = self.places.lock().unwrap();
+        if places.get(task).is_some_and(|at| at == machine) {
+            places.remove(task);
+        }
+    }
+
     /// Number of machines up.
     pub fn count(&self) -> usize {
         self.machines.lock().unwrap().len()
@@ -362,6 +386,8 @@
     if let Some(Value::Array(names)) = field(&body, "hosts") {
         for name in names.iter().filter_map(Value::as_text) {
             cloud.machines.lock().unwrap().remove(name);
+            let mut places = cloud.places.lock().unwrap();
+            places.retain(|_, machine| machine != name);
         }
     }
     answer(200, &cbor!({}).unwrap())
@@ -383,6 +409,7 @@
             .map(|(task, attempt, reports)| {
                 *reports += 1;
                 if *reports > 3 {
+                    cloud.leaves(task, &name);
                     cbor!({"strand" => *task, "try" => *attempt, "status" => "exited",
                         "cause" => "done"})
                     .unwrap()
@@ -415,8 +442,14 @@
             let (task, attempt) = (text(order, "strand"), number(order, "try"));
             let known = tasks.iter().any(|t| t.0 == task && t.1 == attempt);
             match text(order, "verb").as_str() {
-                "run" if !known => tasks.push((task, attempt, 0)),
-                "clear" | "kill" => tasks.retain(|t| t.0 != task || t.1 != attempt),
+                "run" if !known => {
+                    cloud.starts(&task, &name);
+                    tasks.push((task, attempt, 0));
+                }
+                "clear" | "kill" => {
+                    cloud.leaves(&task, &name);
+                    tasks.retain(|t| t.0 != task || t.1 != attempt);
+                }
                 _ => {}
             }
         }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -274,6 +274,128 @@
     assert_eq!(text(&body, "status"), "cancelled");
 }
 
+/// A controller may be back within a fraction of a second, while its own lease still stands
+/// and in the middle of its election.
+#[actix_web::test]
+async fn a_controller_back_at_once_leads_again_and_starts_nothing_twice() {
+    let bench = Bench::new("at-once");
+    let mut node = bench.start();
+    node.accept(&job("wk-000050", "array", 40, 8.0)).await;
+    node.accept(&job("wk-000051", "group", 4, 15.0)).await;
+    for pause in [0, 30, 200, 0, 500] {
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        drop(node);
+        node = bench.start();
+    }
+    node.until("wk-000050", "done").await;
+    drop(node);
+    node = bench.start();
+    node.until("wk-000051", "done").await;
+    assert_eq!(bench.cloud.ran_twice(), 0);
+}
+
+/// Every accepted job stays known: after an outage, a restart, and both, polls for all of them
+/// are answered, and submissions in plenty do not starve them.
+#[actix_web::test]
+async fn polls_for_all_jobs_are_answered_after_an_outage_and_a_restart_and_under_submissions() {
+    let bench = Bench::new("known");
+    let mut node = bench.start();
+    let ids: Vec<String> = (0..30).map(|n| format!("wk-{:06}", 600 + n)).collect();
+    for id in &ids {
+        node.accept(&job(id, "array", 1, 16.0)).await;
+    }
+    for round in 0..3 {
+        bench.state.set_out(round != 1);
+        if round > 0 {
+            drop(node);
+            node = bench.start();
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        bench.state.set_out(false);
+        let flood: Vec<_> = (0..40)
+            .map(|n| {
+                job(
+                    &format!("wk-{:06}", 1000 + round * 100 + n),
+                    "array",
+                    1,
+                    16.0,
+                )
+            })
+            .collect();
+        let submits = futures_util::future::join_all(flood.iter().map(|job| node.submit(job)));
+        let polls = async {
+            for id in &ids {
+                let began = Instant::now();
+                while node.poll(id).await.0 != 200 {
+                    assert!(began.elapsed() < PATIENCE, "{id} is forgotten");
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+        };
+        let (statuses, ()) = futures_util::future::join(submits, polls).await;
+        for status in statuses {
+            assert!([0, 201, 429, 503].contains(&status), "{status}");
+        }
+    }
+    for id in &ids {
+        node.until(id, "done").await;
+    }
+    assert_eq!(bench.cloud.ran_twice(), 0);
+}
+
+/// A report as a worker that has seen `baton` sends it; the answer's status and token.
+async fn hello(node: &Node, tally: u64, baton: u64) -> (u16, u64) {
+    let report = cbor!({
+        "host" => "m-900001", "address" => "127.0.0.1:1", "build" => "cpu16", "yard" => "north",
+        "loaners" => false, "tenure" => 1, "tally" => tally, "baton" => baton,
+        "recallS" => null, "strands" => []
+    });
+    let (status, body, _) = node.post("/hello", encode(&report.unwrap())).await;
+    (status, number(&body, "baton"))
+}
+
+/// A leader left with its workers alone: it keeps their leases for a bounded time, starts
+/// nothing, answers nothing wrong, and never a 200 with a token that the worker must drop.
+#[actix_web::test]
+async fn a_leader_without_the_state_service_keeps_leases_for_a_while_and_then_gives_up() {
+    let bench = Bench::new("alone");
+    let node = bench.start();
+    node.accept(&job("wk-000070", "array", 1, 4.0)).await;
+    node.until("wk-000070", "done").await;
+    let (status, token) = hello(&node, 1, 0).await;
+    assert_eq!(status, 200);
+    let newer = token + (1 << 20);
+    assert_eq!(hello(&node, 2, newer).await.0, 503, "another one leads");
+    bench.state.set_out(true);
+    let began = Instant::now();
+    let mut tally = 10;
+    let (mut kept, mut gave_up) = (false, false);
+    while !gave_up {
+        assert!(began.elapsed() < PATIENCE, "it never gives up");
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        tally += 1;
+        match hello(&node, tally, token).await {
+            (200, told) => {
+                assert!(told >= token, "a token that the worker must drop");
+                kept = true;
+            }
+            (status, _) => {
+                assert!([421, 503].contains(&status), "{status}");
+                gave_up = true;
+            }
+        }
+        assert_eq!(hello(&node, tally, newer).await.0, 503);
+        let (status, body) = node.poll("wk-000070").await;
+        assert_eq!((status, text(&body, "status").as_str()), (200, "done"));
+        assert_eq!(node.submit(&job("wk-000071", "array", 1, 4.0)).await, 503);
+    }
+    assert!(kept, "work goes on for a while");
+    bench.state.set_out(false);
+    node.accept(&job("wk-000071", "array", 1, 4.0)).await;
+    node.until("wk-000071", "done").await;
+    assert_eq!(bench.cloud.ran_twice(), 0);
+}
+
 #[actix_web::test]
 async fn operators_settings_are_checked_versioned_and_outlive_the_process() {
     let bench = Bench::new("admin");
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -7,17 +7,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-use knotlanding::cluster::{Cluster, Direct, Drain, RecordKind, Verified};
+use knotlanding::cluster::{Cluster, Direct, Drain, RecordKind, Sent, Verified, Way};
 use knotlanding::config::Settings;
 use knotlanding::fleet::{self, Market, Thrift};
 use knotlanding::model::{
     Amount, Build, JobId, JobSpec, MachineId, Rank, Shape, Term, Token, Verdict,
 };
+use knotlanding::peer::Told;
 use knotlanding::sched::{self, Decisions, Policy};
 use knotlanding::store::keys::{self, DoneRecord, JobRecord, LiveRecord, RosterRecord};
 use knotlanding::store::replica::Replica;
 use knotlanding::store::{to_value, Outcome, Row, StoreError};
-use knotlanding::wire::{Cause, Order, Report, ReportedTask, TaskPhase};
+use knotlanding::wire::{Cause, ListedMachine, Order, Report, ReportedTask, TaskPhase};
 
 /// A small cluster with a clock, and what has happened in it so far as text.
 struct Scene {
@@ -30,6 +31,8 @@
     seq: u64,
     revision: u64,
     log: String,
+    /// The token that the next report shows, if it is not a term's first.
+    heard: Option<Token>,
 }
 
 fn builds() -> Vec<Build> {
@@ -128,6 +131,7 @@
             seq: 0,
             revision: 100,
             log: String::new(),
+            heard: None,
         };
         scene.take_over(1);
         scene
@@ -231,7 +235,7 @@
         }
         self.write(writes_work);
         let direct = self.cluster.direct_orders(self.now);
-        for direct in direct {
+        for direct in &direct {
             let Direct { machine, body, .. } = direct;
             let raised = body.token & 0xfffff;
             let orders = shown(&body.orders);
@@ -252,7 +256,10 @@
                 Outcome::Failed(StoreError::Refused(503))
             };
             let what = match &write.kind {
-                RecordKind::Started(id) => format!("{id} started"),
+                RecordKind::Started(id, Sent::Anywhere) => format!("{id} started, anywhere"),
+                RecordKind::Started(id, Sent::Hosts(hosts)) => {
+                    format!("{id} started, on {hosts:?} at most")
+                }
                 RecordKind::Done(id, chunk, bits) => format!("{id} done chunk {chunk} = {bits}"),
                 RecordKind::Finished(id) => format!("{id} is done"),
                 RecordKind::Retired(id) => format!("{id} retired"),
@@ -274,6 +281,7 @@
         tasks: &[(&str, u64, TaskPhase, Option<Cause>)],
         own: bool,
     ) -> Verified {
+        let way = if own { Way::Own } else { Way::Asked(self.now) };
         let (build, zone) = place_of(machine);
         let tasks: Vec<ReportedTask> = tasks
             .iter()
@@ -297,11 +305,15 @@
             spot: false,
             session,
             seq,
-            token: Token::first(Term(token)).0,
+            token: self
+                .heard
+                .unwrap_or_default()
+                .0
+                .max(Token::first(Term(token)).0),
             notice_s: None,
             tasks,
         };
-        let verified = self.cluster.report(&report, own, self.now);
+        let verified = self.cluster.report(&report, way, self.now);
         let kind = if own { "report" } else { "direct answer" };
         self.note(&format!(
             "{kind} of {machine} ({session}.{seq} token {token}): [{}] {verified:?}",
@@ -317,11 +329,31 @@
         verified
     }
 
-    /// The next report of a machine in session 1 that knows our term.
+    /// The next report of a machine in session 1 that hears all it is told.
     fn report(&mut self, machine: &str, tasks: &[(&str, u64, TaskPhase, Option<Cause>)]) {
         self.seq += 1;
         let token = self.cluster.term.0;
+        let id = MachineId(machine.into());
+        self.heard = self.cluster.machines.get(&id).map(|m| m.token);
         self.report_as(machine, (1, self.seq, token), tasks, true);
+        self.heard = None;
+    }
+
+    /// The cloud's list names these machines.
+    fn listed(&mut self, names: &[&str]) {
+        let list: Vec<ListedMachine> = names
+            .iter()
+            .map(|name| ListedMachine {
+                id: (*name).to_owned(),
+                address: "127.0.0.1:9".to_owned(),
+                build: place_of(name).0.to_owned(),
+                zone: place_of(name).1.to_owned(),
+                spot: false,
+                status: "running".to_owned(),
+                age_s: 100.0,
+            })
+            .collect();
+        self.cluster.listed(&list, self.now);
     }
 
     /// Machines that have reported and are on the roster.
@@ -372,6 +404,7 @@
         spec: spec.clone(),
         submitted_ms: submitted.unwrap().as_millis() as u64,
         started,
+        hosts: None,
     };
     vec![
         (keys::job(&spec.id), to_value(&job)),
@@ -467,6 +500,9 @@
     s.note("the worker dropped the answer: its own next report proves it");
     s.report("m-g1n", &[]);
     s.round();
+    s.note("nothing more goes there until it brings back a token given to it since");
+    s.report("m-g1n", &[]);
+    s.round();
     s.report("m-g1n", &[]);
     insta::assert_snapshot!(s.log);
 }
@@ -877,6 +913,7 @@
 fn a_machine_new_to_all_is_planned_for_at_once_but_started_on_only_when_fenced() {
     let mut s = Scene::new();
     s.submit(array("wk-000001", 1));
+    s.listed(&["m-g1n", "m-g2n"]);
     s.report_as("m-g1n", (1, 1, 0), &[], true);
     s.round();
     s.note("its first report; the start waits until it knows our term");
@@ -890,3 +927,304 @@
     s.report_as("m-g2n", (1, 10, 1), &[other], true);
     insta::assert_snapshot!(s.log);
 }
+
+/// A machine whose reports arrive, in the words of the report that shows only the first token.
+fn deaf_report(s: &mut Scene, machine: &str, tasks: &[(&str, u64, TaskPhase, Option<Cause>)]) {
+    s.seq += 1;
+    let seq = s.seq;
+    s.report_as(machine, (1, seq, 1), tasks, true);
+}
+
+#[test]
+fn a_machine_that_reports_but_hears_nothing_gets_no_more_starts_and_is_returned() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2s", "m-g3s", "m-g4s"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.report("m-g1n", &[]);
+    s.note("from here nothing reaches m-g1n, while its reports arrive");
+    let runs = ("wk-000001/0", SECOND, RUNNING, None);
+    for step in 0..6 {
+        s.pass(0.4);
+        deaf_report(&mut s, "m-g1n", &[]);
+        s.report(
+            "m-g2s",
+            if step < 2 {
+                &[]
+            } else {
+                std::slice::from_ref(&runs)
+            },
+        );
+        for other in ["m-g3s", "m-g4s"] {
+            s.report(other, &[]);
+        }
+        let decisions = s.round();
+        s.fleet(&decisions);
+    }
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_machine_that_hears_again_half_way_works_again_and_a_deaf_zone_is_not_returned_at_once() {
+    let mut s = Scene::new();
+    let south = ["m-g2s", "m-g3s", "m-g4s"];
+    s.machines(&["m-g1n", "m-g5n", "m-g6n", "m-g2s", "m-g3s", "m-g4s"]);
+    let mut job = array("wk-000001", 12);
+    job.team = "blue".to_owned();
+    s.submit(job);
+    s.round();
+    for machine in ["m-g1n", "m-g5n", "m-g6n", "m-g2s", "m-g3s", "m-g4s"] {
+        s.report(machine, &[]);
+    }
+    s.note("the south hears nothing from here on");
+    for machine in south {
+        deaf_report(&mut s, machine, &[]);
+    }
+    for _ in 0..5 {
+        s.pass(0.5);
+        for machine in south {
+            deaf_report(&mut s, machine, &[]);
+        }
+        for machine in ["m-g1n", "m-g5n", "m-g6n"] {
+            s.report(machine, &[]);
+        }
+    }
+    let decisions = s.round();
+    s.fleet(&decisions);
+    s.note("m-g2s hears again");
+    s.report("m-g2s", &[]);
+    s.round();
+    s.report("m-g2s", &[]);
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_deaf_machine_does_not_keep_a_new_leader_waiting_for_ever_nor_one_silent_machine_all_jobs() {
+    let mut records = accepted(&array("wk-000001", 1), true);
+    records.extend(accepted(&gang("wk-000002", 1), true));
+    // The record of the second job names where it may be.
+    let id = JobId::parse("wk-000002").unwrap();
+    let mut live = LiveRecord {
+        spec: gang("wk-000002", 1),
+        submitted_ms: 0,
+        started: true,
+        hosts: Some(vec!["m-c1n".to_owned()]),
+    };
+    records.pop();
+    records.push((keys::live(&id), to_value(&live)));
+    live.spec.id = JobId::parse("wk-000003").unwrap();
+    records.push(roster(&["m-c1n", "m-c2n", "m-c3n", "m-g1n"]));
+    let mut s = Scene::with(records);
+    s.listed(&["m-c1n", "m-c2n", "m-c3n", "m-g1n"]);
+    for machine in ["m-c1n", "m-c2n", "m-c3n"] {
+        s.report(machine, &[]);
+    }
+    s.note("m-g1n reports, but never shows our term; only the array can be there");
+    s.report_as(
+        "m-g1n",
+        (4, 7, 0),
+        &[("wk-000001/0", 7, RUNNING, None)],
+        true,
+    );
+    s.round();
+    for _ in 0..4 {
+        s.pass(0.5);
+        s.seq += 1;
+        let seq = s.seq + 7;
+        s.report_as(
+            "m-g1n",
+            (4, seq, 0),
+            &[("wk-000001/0", 7, RUNNING, None)],
+            true,
+        );
+        for machine in ["m-c1n", "m-c2n", "m-c3n"] {
+            s.report(
+                machine,
+                &[("wk-000002/0", FIRST, RUNNING, None)][..0].as_ref(),
+            );
+        }
+    }
+    let decisions = s.round();
+    s.fleet(&decisions);
+    s.note("its return is the proof");
+    s.cluster.machine_gone(&MachineId("m-g1n".into()));
+    s.report("m-g2n", &[]);
+    s.round();
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn late_copies_of_reports_bring_nothing_back_and_prove_nothing() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2n"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.report("m-g1n", &[]);
+    s.report("m-g1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
+    s.note("copies from before the start: no second start, and the task is not believed gone");
+    for seq in [1, 3] {
+        assert_eq!(
+            s.report_as("m-g1n", (1, seq, 1), &[], true),
+            Verified::Older
+        );
+    }
+    s.round();
+    s.cancel("wk-000001");
+    s.round();
+    s.report(
+        "m-g1n",
+        &[("wk-000001/0", FIRST, EXITED, Some(Cause::Stopped))],
+    );
+    s.note("a copy from before the stop: the task is not back, and its room is free");
+    let seq = s.seq - 1;
+    s.report_as(
+        "m-g1n",
+        (1, seq, 1),
+        &[("wk-000001/0", FIRST, RUNNING, None)],
+        true,
+    );
+    s.submit(array("wk-000002", 4));
+    s.round();
+    s.note("a machine that was returned, then copies of what it said");
+    s.cluster.machine_gone(&MachineId("m-g2n".into()));
+    s.report_as(
+        "m-g2n",
+        (1, 90, 1),
+        &[("wk-000002/0", 9, RUNNING, None)],
+        true,
+    );
+    let told: Vec<String> = s
+        .cluster
+        .news()
+        .gone
+        .iter()
+        .map(|m| m.to_string())
+        .collect();
+    s.note(&format!(
+        "the other nodes are told that it is gone: {told:?}"
+    ));
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_copy_from_before_a_change_of_leader_is_a_hint_only() {
+    let mut records = accepted(&array("wk-000001", 1), true);
+    records.push(roster(&["m-g1n"]));
+    let mut s = Scene::with(records);
+    let mut told = Told::default();
+    told.gone.push_back(MachineId("m-g9n".into()));
+    s.cluster.hint(&told);
+    s.note("copies: of a roster machine without the task, of one gone, of one nobody knows");
+    s.report_as("m-g1n", (1, 3, 0), &[], true);
+    s.report_as(
+        "m-g9n",
+        (1, 3, 0),
+        &[("wk-000001/0", 4, RUNNING, None)],
+        true,
+    );
+    s.report_as("m-g8n", (1, 1, 0), &[], true);
+    s.round();
+    s.report_as(
+        "m-g1n",
+        (1, 8, 1),
+        &[("wk-000001/0", 4, RUNNING, None)],
+        true,
+    );
+    s.round();
+    s.pass(2.0);
+    s.report_as(
+        "m-g1n",
+        (1, 9, 1),
+        &[("wk-000001/0", 4, RUNNING, None)],
+        true,
+    );
+    let decisions = s.round();
+    s.note("the ghost is given up");
+    s.fleet(&decisions);
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_machine_that_begins_again_under_its_name_is_told_from_a_late_copy_by_asking_it() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.report("m-g1n", &[]);
+    s.report("m-g1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
+    s.pass(0.2);
+    s.note("back at once: its session and number begin again");
+    s.report_as("m-g1n", (1, 1, 0), &[], true);
+    s.round();
+    s.pass(0.1);
+    s.report_as("m-g1n", (1, 2, 1), &[], false);
+    s.note("what was on it went with its former life; copies of what that said are told apart");
+    s.round();
+    let running = ("wk-000001/0", FIRST, RUNNING, None);
+    let copy = s.report_as("m-g1n", (1, 40, 1), &[running], true);
+    assert_eq!(copy, Verified::Older);
+    s.note("the new life brings back the token that only it was given");
+    s.seq = 4;
+    s.report("m-g1n", &[]);
+    insta::assert_snapshot!(s.log);
+}
+
+/// Small jobs arrive faster than they leave; whatever is large has to begin all the same.
+#[test]
+fn the_largest_jobs_begin_in_bounded_time_under_a_stream_of_small_ones() {
+    let mut s = Scene::new();
+    let names: Vec<String> = (0..6).map(|n| format!("m-c{n}n")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    s.machines(&names);
+    let mut running: Vec<(String, u64, String, f64)> = Vec::new();
+    s.submit(gang("wk-900000", 6));
+    let mut never = array("wk-900001", 3);
+    never.need.gpus = 4.0;
+    s.submit(never);
+    let (mut next, mut began) = (1, None);
+    for second in 0..240u32 {
+        s.log.clear();
+        s.pass(1.0);
+        let mut small = gang(&format!("wk-{next:06}"), 1 + next % 2);
+        small.team = if next % 3 == 0 { "red" } else { "blue" }.to_owned();
+        s.submit(small);
+        next += 1;
+        let decisions = s.round();
+        if decisions
+            .starts
+            .iter()
+            .any(|start| start.job.as_str() == "wk-900000")
+        {
+            began = Some(second);
+            break;
+        }
+        for start in decisions.starts {
+            let attempt = s.cluster.jobs[&start.job].attempt.unwrap().0;
+            for (index, machine) in start.members {
+                running.push((
+                    format!("{}/{index}", start.job),
+                    attempt,
+                    machine.to_string(),
+                    0.0,
+                ));
+            }
+        }
+        for name in &names {
+            let mut tasks = Vec::new();
+            for (task, attempt, machine, age) in &mut running {
+                if machine == name {
+                    *age += 1.0;
+                    let over = *age > 20.0;
+                    let phase = if over { EXITED } else { RUNNING };
+                    let cause = over.then_some(Cause::Done);
+                    if *age > 1.0 {
+                        tasks.push((task.as_str(), *attempt, phase, cause));
+                    }
+                }
+            }
+            s.report(name, &tasks);
+        }
+        running.retain(|(.., age)| *age <= 22.0);
+    }
+    assert!(began.is_some(), "it never began");
+}
