--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -9,7 +9,7 @@
 use super::round::Shortages;
 use crate::cluster::{Catalog, Machine};
 use crate::fleet::client::{CloudClient, CloudError};
-use crate::fleet::{self, Action, Market, Offer, MOST_A_HIRE};
+use crate::fleet::{self, Action, Look, Market, Offer, MOST_A_HIRE};
 use crate::model::{MachineId, Term};
 use crate::service::Shared;
 use crate::store::limiter::Bucket;
@@ -231,7 +231,14 @@
             return Vec::new();
         }
         let policy = &self.shared.policy;
-        let actions = fleet::plan(cluster, policy, &short, &self.market, thrift, now);
+        let actions = fleet::plan(&Look {
+            cluster,
+            policy,
+            short: &short,
+            market: &self.market,
+            thrift,
+            now,
+        });
         for action in &actions {
             if let Action::Return(ids, _) = action {
                 for id in ids {
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -499,6 +499,7 @@
                 });
             }
         }
+        machine.recount();
         orders
     }
 }
--- a/src/fleet/idle.rs
+++ b/src/fleet/idle.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use super::{Market, Offer, Thrift};
+use super::{Look, Market, Offer};
 use crate::cluster::{build_named, Cluster, Kind, KindId, Machine, ARRIVALS_KEPT};
 use crate::model::{Build, JobSpec, MachineId};
 use crate::sched::Policy;
@@ -24,15 +24,19 @@
 
 /// Idle machines whose keeping costs more than a new one likely would.
 pub(super) fn machines(
-    cluster: &Cluster,
+    look: &Look,
+    demand: &Demand,
     kept: &HashSet<MachineId>,
     leaving: &HashSet<MachineId>,
-    demand: &Demand,
-    policy: &Policy,
-    market: &Market,
-    thrift: Thrift,
-    now: Instant,
 ) -> Vec<(MachineId, &'static str)> {
+    let Look {
+        cluster,
+        policy,
+        market,
+        thrift,
+        now,
+        ..
+    } = *look;
     let mut idle = Vec::new();
     let prompt_kinds = prompt_kinds(cluster, policy);
     // What a new leader has not seen arrive may come yet.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -89,15 +89,33 @@
     }
 }
 
+/// What a look at the fleet sees.
+#[derive(Debug, Clone, Copy)]
+pub struct Look<'a> {
+    /// The picture.
+    pub cluster: &'a Cluster,
+    /// What of the settings matters.
+    pub policy: &'a Policy,
+    /// What the last round was short of.
+    pub short: &'a [Short],
+    /// What is known of the market.
+    pub market: &'a Market,
+    /// Operators' say.
+    pub thrift: Thrift,
+    /// The time.
+    pub now: Instant,
+}
+
 /// What to rent and return now.
-pub fn plan(
-    cluster: &Cluster,
-    policy: &Policy,
-    short: &[Short],
-    market: &Market,
-    thrift: Thrift,
-    now: Instant,
-) -> Vec<Action> {
+pub fn plan(look: &Look) -> Vec<Action> {
+    let Look {
+        cluster,
+        policy,
+        short,
+        market,
+        thrift,
+        now,
+    } = *look;
     let mut actions = Vec::new();
     let lost = lost::machines(cluster, now);
     let leaving: HashSet<MachineId> = lost.iter().map(|(id, _)| id.clone()).collect();
@@ -121,9 +139,7 @@
     let demand = idle::Demand::of(cluster, now);
     let kept = planner.keep_spare(policy, &demand, thrift);
     let rents = planner.rents();
-    let idle = idle::machines(
-        cluster, &kept, &leaving, &demand, policy, market, thrift, now,
-    );
+    let idle = idle::machines(look, &demand, &kept, &leaving);
     for (id, why) in idle {
         by_reason.entry(why).or_default().push(id);
     }
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -79,13 +79,25 @@
 }
 
 /// How long a job may wait for room to come free by itself, in seconds: as long as it still
-/// starts in time, or a little while where that is past.
-fn patience(policy: &Policy, claimant: &Entry, now: Instant) -> f64 {
+/// starts in time, its image and the stops included, or a little while where that is past.
+fn patience(view: View, claimant: &Entry) -> f64 {
+    let View {
+        cluster,
+        policy,
+        now,
+    } = view;
     let spec = &claimant.job.spec;
     let age = now.saturating_duration_since(claimant.job.submitted);
     let within = policy.prompt.get(&spec.class);
     let left = within.map_or(Duration::ZERO, |within| within.saturating_sub(age));
-    let patience = left.as_secs_f64().max(LEAST_PATIENCE_S);
+    let usable = cluster.catalog().iter().filter(|build| {
+        let named = |zone: &String| spec.allows(&build.name, zone, false);
+        spec.need.fits(&build.room) && build.zones.iter().any(named)
+    });
+    let rates = usable.map(|build| build.fetch_rate.max(f64::MIN_POSITIVE));
+    let slowest = rates.fold(f64::INFINITY, f64::min);
+    let fetch = spec.image_gb / slowest;
+    let patience = (left.as_secs_f64() - fetch - LEAST_PATIENCE_S).max(LEAST_PATIENCE_S);
     match policy.guarantee {
         // Half of it goes by in stopping and starting.
         Some(within) if claimant.guaranteed => patience.min(within.as_secs_f64() / 2.0),
@@ -135,8 +147,22 @@
         }
         looks -= 1;
         let spec = &claimant.job.spec;
-        let patience = patience(policy, claimant, now);
-        let served = departures.serve(&rooms, spec, *tasks, patience);
+        let patience = patience(view, claimant);
+        // Room in two zones is of no use to a job bound to one.
+        let zones = if spec.one_zone {
+            allocate::zones_to_try(view, claimant.job, &rooms)
+        } else {
+            vec![None]
+        };
+        let in_zone = |zone: &Option<String>| {
+            departures.could_serve(&rooms, (spec, zone.as_deref()), *tasks, patience)
+        };
+        let best = zones
+            .iter()
+            .max_by_key(|zone| in_zone(zone))
+            .cloned()
+            .flatten();
+        let served = departures.serve(&rooms, (spec, best.as_deref()), *tasks, patience);
         // A gang gains nothing by room for a part of it.
         let tasks = if claimant.job.gang() && served < *tasks {
             *tasks
@@ -146,12 +172,6 @@
         if tasks == 0 {
             continue;
         }
-        // Room in two zones is of no use to a job bound to one.
-        let zones = if spec.one_zone {
-            allocate::zones_to_try(view, claimant.job, &rooms)
-        } else {
-            vec![None]
-        };
         let ways = zones.iter().filter_map(|zone| {
             let search = Search {
                 view,
--- a/src/sched/rooms.rs
+++ b/src/sched/rooms.rs
@@ -172,24 +172,49 @@
         &self.places
     }
 
-    /// Takes up to `most` places that leave room for a task of the job within `limit`
-    /// seconds; how many there were.
-    pub fn serve(&mut self, rooms: &Rooms, spec: &JobSpec, most: u32, limit: f64) -> u32 {
-        let kinds = rooms.kinds_for(spec, None);
-        let mut served = 0;
-        for (at, place) in self.places.iter().enumerate() {
-            if served == most || place.rest_s > limit {
-                break;
-            }
+    /// Places that leave room for a task of the job within `limit` seconds, `most` at most.
+    fn serving<'a>(
+        &'a self,
+        rooms: &'a Rooms,
+        (spec, zone): (&'a JobSpec, Option<&str>),
+        most: u32,
+        limit: f64,
+    ) -> impl Iterator<Item = usize> + 'a {
+        let kinds = rooms.kinds_for(spec, zone);
+        let soon = self.places.iter().take_while(move |p| p.rest_s <= limit);
+        let fitting = soon.enumerate().filter(move |(at, place)| {
             let room = &rooms.all[place.room];
             let mut free = room.free;
             free.add(&place.amount);
-            if !self.claimed[at] && kinds.contains(&room.kind) && spec.need.fits(&free) {
-                self.claimed[at] = true;
-                served += 1;
-            }
+            !self.claimed[*at] && kinds.contains(&room.kind) && spec.need.fits(&free)
+        });
+        fitting.map(|(at, _)| at).take(most as usize)
+    }
+
+    /// How many such places there are.
+    pub fn could_serve(
+        &self,
+        rooms: &Rooms,
+        wanted: (&JobSpec, Option<&str>),
+        most: u32,
+        limit: f64,
+    ) -> u32 {
+        self.serving(rooms, wanted, most, limit).count() as u32
+    }
+
+    /// Takes such places; how many there were.
+    pub fn serve(
+        &mut self,
+        rooms: &Rooms,
+        wanted: (&JobSpec, Option<&str>),
+        most: u32,
+        limit: f64,
+    ) -> u32 {
+        let served: Vec<usize> = self.serving(rooms, wanted, most, limit).collect();
+        for at in &served {
+            self.claimed[*at] = true;
         }
-        served
+        served.len() as u32
     }
 
     /// Takes the first place on a machine with the image that comes free within `limit`
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -9,7 +9,7 @@
 
 use knotlanding::cluster::{Cluster, Direct, Drain, RecordKind, Sent, Verified, Way};
 use knotlanding::config::Settings;
-use knotlanding::fleet::{self, Market, Thrift};
+use knotlanding::fleet::{self, Look, Market, Thrift};
 use knotlanding::model::{
     Amount, Build, JobId, JobSpec, MachineId, Rank, Shape, Term, Token, Verdict,
 };
@@ -35,6 +35,12 @@
     heard: Option<Token>,
 }
 
+/// The time of day in all scenes: with the real one, jobs submitted together would differ in age
+/// by a millisecond now and then, and with it in order.
+fn wall() -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000)
+}
+
 fn builds() -> Vec<Build> {
     let build = |name: &str, cpus: f64, gpus: f64, price: f64| Build {
         name: name.to_owned(),
@@ -122,7 +128,7 @@
                 &Replica::default(),
                 Arc::new(builds()),
                 start,
-                SystemTime::now(),
+                wall(),
             ),
             settings,
             records,
@@ -170,7 +176,7 @@
             &self.replica(),
             Arc::new(builds()),
             self.now,
-            SystemTime::now(),
+            wall(),
         );
         let unsettled = self.cluster.unsettled.len();
         self.note(&format!(
@@ -199,7 +205,7 @@
 
     fn sync(&mut self, id: &JobId) {
         let replica = self.replica();
-        let wall = SystemTime::now();
+        let wall = wall();
         self.cluster.sync_job(id, &replica, self.now, wall, false);
     }
 
@@ -213,6 +219,9 @@
     }
 
     fn round_with(&mut self, writes_work: bool) -> Decisions {
+        for machine in self.cluster.machines.values() {
+            assert_eq!(*machine.load(), machine.counted(), "{}", machine.id);
+        }
         self.cluster.expire(self.now);
         let decisions = sched::round(&self.cluster, &self.policy, self.now);
         sched::apply(&mut self.cluster, &decisions, self.now);
@@ -367,14 +376,14 @@
     fn fleet(&mut self, decisions: &Decisions) {
         let market = Market::default();
         let thrift = Thrift::default();
-        let actions = fleet::plan(
-            &self.cluster,
-            &self.policy,
-            &decisions.short,
-            &market,
+        let actions = fleet::plan(&Look {
+            cluster: &self.cluster,
+            policy: &self.policy,
+            short: &decisions.short,
+            market: &market,
             thrift,
-            self.now,
-        );
+            now: self.now,
+        });
         for action in actions {
             self.note(&format!("fleet: {action:?}"));
         }
@@ -395,7 +404,7 @@
 }
 
 fn accepted(spec: &JobSpec, started: bool) -> Vec<(String, knotlanding::store::Value)> {
-    let submitted = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let submitted = wall().duration_since(SystemTime::UNIX_EPOCH);
     let job = JobRecord {
         verdict: Verdict::Accepted,
         tasks: spec.tasks,
@@ -1038,10 +1047,7 @@
             true,
         );
         for machine in ["m-c1n", "m-c2n", "m-c3n"] {
-            s.report(
-                machine,
-                &[("wk-000002/0", FIRST, RUNNING, None)][..0].as_ref(),
-            );
+            s.report(machine, &[]);
         }
     }
     let decisions = s.round();
