--- a/src/cluster/job.rs
+++ b/src/cluster/job.rs
@@ -77,6 +77,9 @@
     pub begun: bool,
     /// The present attempt is being stopped, all members of it.
     pub stopping: bool,
+    /// Other work was stopped for it, in this zone or anywhere: the room that this frees is
+    /// its own until then.
+    pub claim: Option<(Option<String>, Instant)>,
     /// Takes no new starts until then.
     pub rests_until: Option<Instant>,
     /// Machines on which its tasks failed.
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -264,6 +264,7 @@
             attempt: None,
             begun: false,
             stopping: false,
+            claim: None,
             rests_until: None,
             failed_on: BTreeSet::new(),
             writing: false,
--- a/src/sched/allocate.rs
+++ b/src/sched/allocate.rs
@@ -264,6 +264,24 @@
     best_zone(view, claims, job, missing, rooms, None)
 }
 
+/// What room there is for a gang's missing members in the zone where it is being made, or
+/// anywhere.
+pub fn claimed(
+    view: View,
+    claims: &[Claim],
+    job: &Job,
+    missing: &[u32],
+    (rooms, zone): (&Rooms, Option<&str>),
+) -> Found {
+    let asked = Asked {
+        view,
+        spec: &job.spec,
+        image: job.image,
+        claims,
+    };
+    fill(&asked, job, missing, zone, rooms, None)
+}
+
 /// Room for as many of an array's tasks as fit. Nothing is taken yet.
 pub fn array(
     view: View,
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -22,6 +22,10 @@
 /// from later jobs, so that smaller ones can't starve it.
 const KEEP_ROOM_AFTER: u32 = 2;
 
+/// How long room that stops make is kept for the gang they are made for: saving, stopping and
+/// the reports that show it, for the slowest of its machines.
+const CLAIM_LASTS: Duration = Duration::from_secs(20);
+
 /// What the scheduler needs of the settings.
 #[derive(Debug, Clone)]
 pub struct Policy {
@@ -200,6 +204,8 @@
     pub gang_stops: Vec<(JobId, &'static str)>,
     /// Tasks to be stopped.
     pub halts: Vec<Halt>,
+    /// Jobs for which others are stopped, with the zone.
+    pub claims: Vec<(JobId, Option<String>)>,
     /// What the fleet is short of.
     pub short: Vec<Short>,
     /// Why jobs wait.
@@ -319,7 +325,12 @@
         return;
     }
     let age = now.saturating_duration_since(job.submitted);
-    if age >= cluster.timing.gang_wait * KEEP_ROOM_AFTER {
+    let claim = job.claim.as_ref().filter(|(_, until)| now < *until);
+    if let Some((zone, _)) = claim {
+        // Else what was stopped for it would start again in the room that this has made.
+        let found = allocate::claimed(view, claims, job, &missing, (rooms, zone.as_deref()));
+        found.keep(rooms, &job.spec.need);
+    } else if age >= cluster.timing.gang_wait * KEEP_ROOM_AFTER {
         found.keep(rooms, &job.spec.need);
     }
     decisions
@@ -420,6 +431,11 @@
         };
         cluster.stop(&halt.machine, &slot, halt.grace_s);
     }
+    for (id, zone) in &decisions.claims {
+        if let Some(job) = cluster.jobs.get_mut(id) {
+            job.claim = Some((zone.clone(), now + CLAIM_LASTS));
+        }
+    }
     for (id, why) in &decisions.waits {
         if let Some(job) = cluster.jobs.get_mut(id) {
             job.waits_for = why;
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -172,6 +172,13 @@
         if tasks == 0 {
             continue;
         }
+        // Where room is being made already, it goes on being made.
+        let settled = claimant
+            .job
+            .claim
+            .as_ref()
+            .filter(|(_, until)| now < *until);
+        let zones = settled.map_or(zones, |(zone, _)| vec![zone.clone()]);
         let ways = zones.iter().filter_map(|zone| {
             let search = Search {
                 view,
@@ -182,13 +189,18 @@
                 promised: &promised,
                 taken: &taken,
             };
-            search.way(zone.as_deref(), tasks)
+            search.way(zone.as_deref(), tasks).map(|way| (way, zone))
         });
-        let best = ways.min_by(|a, b| b.ready.cmp(&a.ready).then(a.cost.total_cmp(&b.cost)));
+        let best =
+            ways.min_by(|(a, _), (b, _)| b.ready.cmp(&a.ready).then(a.cost.total_cmp(&b.cost)));
         let whole = |way: &Way| !claimant.job.gang() || way.ready == tasks;
-        let Some(way) = best.filter(whole) else {
+        let Some((way, zone)) = best.filter(|(way, _)| whole(way)) else {
             continue;
         };
+        if claimant.job.gang() {
+            let id = claimant.job.spec.id.clone();
+            decisions.claims.push((id, zone.clone()));
+        }
         for (machine, sum) in way.promised {
             promised.insert(machine, sum);
         }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1234,3 +1234,44 @@
     }
     assert!(began.is_some(), "it never began");
 }
+
+/// Seen on a recorded day: what was stopped for a gang started again in the first room that came
+/// free, and was stopped again, thousands of times.
+#[test]
+fn room_made_for_a_gang_is_kept_until_the_last_of_it_is_free() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2n"]);
+    let mut low = array("wk-000001", 4);
+    low.checkpoint_s = 15.0;
+    low.save_s = 6.0;
+    s.submit(low);
+    s.round();
+    s.report("m-g1n", &[]);
+    s.report("m-g2n", &[]);
+    let task = |n: u64, phase, cause| {
+        (
+            ["wk-000001/0", "wk-000001/1", "wk-000001/2", "wk-000001/3"][n as usize],
+            FIRST + n,
+            phase,
+            cause,
+        )
+    };
+    let runs = |n| task(n, RUNNING, None);
+    let gone = |n| task(n, EXITED, Some(Cause::Stopped));
+    s.report("m-g1n", &[runs(0), runs(1)]);
+    s.report("m-g2n", &[runs(2), runs(3)]);
+    let mut high = gang("wk-000002", 2);
+    high.need.cpus = 12.0;
+    s.submit(high);
+    s.round();
+    s.pass(0.5);
+    s.report("m-g1n", &[gone(0), gone(1)]);
+    s.report("m-g2n", &[runs(2), runs(3)]);
+    s.note("one of the two machines is free: nothing else goes there");
+    s.round();
+    s.pass(0.5);
+    s.report("m-g1n", &[]);
+    s.report("m-g2n", &[gone(2), gone(3)]);
+    s.round();
+    insta::assert_snapshot!(s.log);
+}
