--- a/src/sched/allocate.rs
+++ b/src/sched/allocate.rs
@@ -15,6 +15,8 @@
 /// What it counts to take room that a class of higher rank could use and may have to take
 /// back by force.
 const CONTESTED_S: f64 = 15.0;
+/// What it counts to take an ordinary machine where a spot one would do, in seconds of fetching.
+const DEAR_S: f64 = 2.0;
 /// Fetches shorter than this are never waited around.
 const LONG_FETCH_S: f64 = 10.0;
 
@@ -131,7 +133,9 @@
         });
         let claim = if contested { CONTESTED_S } else { 0.0 };
         let fetch = self.fetch_s(room, build.fetch_rate);
-        (fetch + waste * PACKING_S + claim, fetch)
+        // The dearer of two machines that are alike is the one to be emptied and returned.
+        let dear = if kind.spot { 0.0 } else { DEAR_S };
+        (fetch + waste * PACKING_S + claim + dear, fetch)
     }
 }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1275,3 +1275,31 @@
     s.round();
     insta::assert_snapshot!(s.log);
 }
+
+#[test]
+fn a_team_at_its_limit_and_a_job_that_fails_everywhere_hold_nobody_else_up() {
+    let mut s = Scene::new();
+    let names = ["m-g1n", "m-g2n", "m-g3n", "m-g4n", "m-g5n"];
+    s.machines(&names);
+    s.submit(array("wk-000001", 9));
+    s.round();
+    s.note("red uses all that it may; a job of blue has failed on three machines");
+    let mut faulty = array("wk-000002", 1);
+    faulty.team = "blue".to_owned();
+    s.submit(faulty);
+    for (machine, attempt) in [("m-g3n", 77), ("m-g4n", 78), ("m-g5n", 79)] {
+        s.report(
+            machine,
+            &[("wk-000002/0", attempt, EXITED, Some(Cause::Error))],
+        );
+    }
+    s.pass(11.0);
+    for name in names {
+        s.report(name, &[]);
+    }
+    let mut other = array("wk-000003", 2);
+    other.team = "blue".to_owned();
+    s.submit(other);
+    s.round();
+    insta::assert_snapshot!(s.log);
+}
