Stops are chosen where the claimant's image is there

Cause: work within a guarantee is to start in 5 s, a scorebox takes 6 s to fetch an ordinary image; victims were chosen by what they lose only. The fetch now counts with the loss.

--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -386,7 +386,13 @@
         cost += loss;
         victims.push(id.clone());
     }
-    need.fits(&free).then_some((cost, victims))
+    // A place is of use to the claimant once its image is there.
+    let fetch = if machine.has_image(claimant.job.image) {
+        0.0
+    } else {
+        claimant.job.spec.image_gb / build.fetch_rate.max(f64::MIN_POSITIVE)
+    };
+    need.fits(&free).then_some((cost + fetch, victims))
 }
 
 /// Stops one task, or the gang it belongs to.
