Idle machines that a waiting job counts on are kept

Machines whose room the plan gives to a waiting job are now kept. Guarded by machines_that_a_waiting_gang_counts_on_are_not_returned_as_idle. Traces are split into ordinary ones and troubles; cluster/sync.rs.

--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -12,6 +12,7 @@
 pub mod machine;
 mod records;
 mod report;
+mod sync;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -25,12 +26,9 @@
 pub use report::{Verified, Way};
 
 use crate::config::{secs, Settings};
-use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term, Verdict};
+use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term};
 use crate::peer::{Hint, Told};
-use crate::store::keys;
 use crate::store::replica::Replica;
-use crate::wire::ListedMachine;
-use done::DoneSet;
 
 /// Clocks of two machines may drift apart by this part.
 const DRIFT: f64 = 0.0005;
@@ -193,104 +191,6 @@
         &self.catalog
     }
 
-    /// Takes what the records now say of a job.
-    pub fn sync_job(
-        &mut self,
-        id: &JobId,
-        replica: &Replica,
-        now: Instant,
-        wall: SystemTime,
-        taking_over: bool,
-    ) {
-        let Some(verdict) = replica.jobs.get(id) else {
-            return;
-        };
-        if let Some(job) = self.jobs.get_mut(id) {
-            if verdict.version > job.version {
-                job.version = verdict.version;
-                job.verdict = verdict.record.0;
-                self.dirty = true;
-                if job.verdict == Verdict::Cancelled {
-                    self.stop_job(id, 0.0);
-                }
-            }
-            // Our own retirement of the job: the records are gone, and so are its tasks.
-            if !replica.live.contains_key(id) && verdict.record.0 != Verdict::Accepted {
-                self.forget_job(id);
-            }
-            return;
-        }
-        let Some(live) = replica.live.get(id) else {
-            return;
-        };
-        let record = &live.record;
-        let wall_ms = wall
-            .duration_since(SystemTime::UNIX_EPOCH)
-            .map_or(0, |d| d.as_millis() as u64);
-        let age = Duration::from_millis(wall_ms.saturating_sub(record.submitted_ms));
-        let mut done = DoneSet::new(record.spec.tasks, self.chunk);
-        for (chunk, digits) in replica.done_chunks(id) {
-            done.mark_durable(chunk, &digits.bits);
-        }
-        let spec = Arc::new(record.spec.clone());
-        let image = self.images.id(&spec.image);
-        self.changed.jobs.insert(id.clone());
-        if !taking_over {
-            self.arrivals.push((now, spec.clone()));
-        }
-        let job = Job {
-            spec,
-            image,
-            submitted: now.checked_sub(age).unwrap_or(now),
-            submitted_ms: record.submitted_ms,
-            version: verdict.version,
-            verdict: verdict.record.0,
-            started: if record.started {
-                Durable::Yes
-            } else {
-                Durable::No
-            },
-            inherited: record.started,
-            sent: match &record.hosts {
-                Some(hosts) => {
-                    Sent::Hosts(hosts.iter().map(|h| MachineId(h.as_str().into())).collect())
-                }
-                None if record.started => Sent::Anywhere,
-                None => Sent::Hosts(BTreeSet::new()),
-            },
-            sent_writes: 0,
-            done,
-            places: BTreeMap::new(),
-            attempt: None,
-            begun: false,
-            stopping: false,
-            claim: None,
-            rests_until: None,
-            failed_on: BTreeSet::new(),
-            writing: false,
-            first_run: None,
-            waits_for: "its first round",
-        };
-        self.jobs.insert(id.clone(), job);
-        self.dirty = true;
-    }
-
-    fn forget_job(&mut self, id: &JobId) {
-        if let Some(job) = self.jobs.remove(id) {
-            for chunk in 0..job.done.chunks() {
-                self.versions.remove(&keys::done(id, chunk));
-            }
-            self.versions.remove(&keys::live(id));
-            for machine in self.machines.values_mut().filter(|m| m.restless()) {
-                machine.slots.retain(|slot, state| {
-                    // What was never sent needs no memory; the rest stays until it is gone.
-                    slot.task.job != *id || state.sent()
-                });
-                machine.recount();
-            }
-        }
-    }
-
     /// A new attempt number; never given out before in any term.
     pub fn next_attempt(&mut self) -> Attempt {
         self.attempts += 1;
@@ -459,74 +359,6 @@
         self.dirty = true;
     }
 
-    /// The machine is gone for sure, and all that was on it.
-    pub fn machine_gone(&mut self, id: &MachineId) {
-        if let Some(machine) = self.machines.remove(id) {
-            for slot in machine.slots.keys() {
-                self.leave(id, slot);
-            }
-        }
-        self.unsettled.remove(id);
-        self.changed.machines.insert(id.clone());
-        self.roster.remove(id);
-        // Reports of it may still be on their way; they must not bring it back.
-        self.departed.insert(id.clone());
-        if self.departed.len() > DEPARTED_KEPT {
-            self.departed.pop_first();
-        }
-        self.dirty = true;
-    }
-
-    /// Takes machines the cloud has given us.
-    pub fn hired(&mut self, names: &[String], offer: &crate::fleet::Offer, now: Instant) {
-        for name in names {
-            let id = MachineId(name.as_str().into());
-            if self.departed.contains(&id) {
-                continue;
-            }
-            let machine = self.machines.entry(id.clone());
-            let machine = machine.or_insert_with(|| Machine::new(id, now));
-            machine.vouched = true;
-            machine.build.clone_from(&offer.build);
-            machine.zone.clone_from(&offer.zone);
-            machine.spot = offer.spot;
-            machine.kind = Some(self.kinds.id(&offer.build, &offer.zone, offer.spot));
-        }
-    }
-
-    /// Takes the cloud's list. It lags, so absence from it proves nothing.
-    pub fn listed(&mut self, list: &[ListedMachine], now: Instant) {
-        for entry in list {
-            let id = MachineId(entry.id.as_str().into());
-            if self.departed.contains(&id) {
-                continue;
-            }
-            let machine = self.machines.entry(id.clone());
-            let machine = machine.or_insert_with(|| Machine::new(id, now));
-            if machine.reported.is_none() {
-                machine.build.clone_from(&entry.build);
-                machine.zone.clone_from(&entry.zone);
-                machine.spot = entry.spot;
-                machine.kind = Some(self.kinds.id(&entry.build, &entry.zone, entry.spot));
-                if machine.address.is_empty() {
-                    machine.address.clone_from(&entry.address);
-                }
-                let rented = now.checked_sub(secs(entry.age_s)).unwrap_or(now);
-                machine.rented = rented.min(machine.rented);
-            }
-            machine.vouched = true;
-            let listed = match entry.status.as_str() {
-                "booting" => Listed::Booting,
-                "failed" => Listed::Failed,
-                _ => Listed::Running,
-            };
-            if machine.listed != listed {
-                machine.listed = listed;
-                machine.listed_since = now;
-            }
-        }
-    }
-
     /// Ends what time alone ends. Only to be called while we lead.
     pub fn expire(&mut self, now: Instant) {
         let lease = self.timing.lease;
@@ -597,7 +429,5 @@
     jobs: BTreeSet<JobId>,
 }
 
-/// Returned machines remembered. Their late reports come within minutes, not days.
-const DEPARTED_KEPT: usize = 4096;
 /// How long submissions are remembered for the expected demand.
 pub const ARRIVALS_KEPT: Duration = Duration::from_secs(180);
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -54,6 +54,8 @@
     bays: Vec<Vec<Bay<'a>>>,
     departing: Vec<(usize, Bay<'a>)>,
     rents: BTreeMap<usize, u32>,
+    /// Machines whose room is spoken for.
+    kept: HashSet<MachineId>,
 }
 
 impl<'a> Planner<'a> {
@@ -150,6 +152,7 @@
             bays,
             departing,
             rents: BTreeMap::new(),
+            kept: HashSet::new(),
         }
     }
 
@@ -220,7 +223,7 @@
             patience_s: slack.as_secs_f64() * SLACK_PART,
             per_zone: HashMap::new(),
         };
-        self.place(spec, want.tasks, &mut bounds, &mut HashSet::new());
+        self.place(spec, want.tasks, &mut bounds);
     }
 
     /// The zone in which the fewest machines have to be rented, then the cheapest.
@@ -250,15 +253,9 @@
         best.map(|(_, _, zone)| zone)
     }
 
-    /// Puts tasks into bays and rents for the rest. Machines whose room was used are added to
-    /// `used`.
-    fn place(
-        &mut self,
-        spec: &JobSpec,
-        tasks: u32,
-        bounds: &mut Bounds,
-        used: &mut HashSet<MachineId>,
-    ) {
+    /// Puts tasks into bays and rents for the rest. Machines whose room was used are kept: a
+    /// gang that waits for the last of its machines must not lose the first ones.
+    fn place(&mut self, spec: &JobSpec, tasks: u32, bounds: &mut Bounds) {
         let cap = spec.zone_cap();
         let usable = self.usable(spec, bounds.zone);
         let mut left = tasks;
@@ -281,7 +278,8 @@
                 bay.free.sub(&spec.need.times(room));
                 *there += room;
                 left -= room;
-                used.extend(bay.machine.map(|machine| machine.id.clone()));
+                self.kept
+                    .extend(bay.machine.map(|machine| machine.id.clone()));
             }
         }
         for (_, at, each) in self.cheapest(&usable) {
@@ -309,7 +307,8 @@
     }
 
     /// Keeps, and rents, room for what may arrive while a machine would boot, for classes
-    /// whose jobs have to start sooner than that. Returns the machines so kept.
+    /// whose jobs have to start sooner than that. Returns all machines that are not to go,
+    /// those that jobs wait for included.
     pub(super) fn keep_spare(
         &mut self,
         policy: &Policy,
@@ -317,7 +316,6 @@
         thrift: Thrift,
     ) -> HashSet<MachineId> {
         let cluster = self.cluster;
-        let mut kept = HashSet::new();
         let window = self
             .now
             .saturating_duration_since(cluster.since)
@@ -349,8 +347,8 @@
                 patience_s: 0.0,
                 per_zone: HashMap::new(),
             };
-            self.place(&any, spare.round() as u32, &mut bounds, &mut kept);
+            self.place(&any, spare.round() as u32, &mut bounds);
         }
-        kept
+        std::mem::take(&mut self.kept)
     }
 }
--- a/src/sched/allocate.rs
+++ b/src/sched/allocate.rs
@@ -73,7 +73,16 @@
     claims: &'a [Claim<'a>],
 }
 
-impl Asked<'_> {
+impl<'a> Asked<'a> {
+    fn of(view: View<'a>, claims: &'a [Claim<'a>], job: &'a Job) -> Self {
+        Self {
+            view,
+            spec: &job.spec,
+            image: job.image,
+            claims,
+        }
+    }
+
     /// Seconds until a task's image would be there.
     fn fetch_s(&self, room: &Room, rate: f64) -> f64 {
         let machine = room.machine;
@@ -277,12 +286,7 @@
     missing: &[u32],
     (rooms, zone): (&Rooms, Option<&str>),
 ) -> Found {
-    let asked = Asked {
-        view,
-        spec: &job.spec,
-        image: job.image,
-        claims,
-    };
+    let asked = Asked::of(view, claims, job);
     fill(&asked, job, missing, zone, rooms, None)
 }
 
@@ -306,12 +310,7 @@
     rooms: &Rooms,
     mut departures: Option<&mut Departures>,
 ) -> Found {
-    let asked = Asked {
-        view,
-        spec: &job.spec,
-        image: job.image,
-        claims,
-    };
+    let asked = Asked::of(view, claims, job);
     let zones = zones_to_try(view, job, rooms);
     let settled = job.spec.one_zone && job.placed();
     // Waiting for places to come free is worked out for one zone only.
--- /dev/null
+++ b/tests/common/scene.rs
@@ -0,0 +1,464 @@
+//! A small cluster under a clock that the test moves, and what happens in it as text.
+
+#![allow(dead_code)]
+
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use knotlanding::cluster::{Cluster, Direct, RecordKind, Sent, Verified, Way};
+use knotlanding::config::Settings;
+use knotlanding::fleet::{self, Look, Market, Thrift};
+use knotlanding::model::{
+    Amount, Build, JobId, JobSpec, MachineId, Rank, Shape, Term, Token, Verdict,
+};
+use knotlanding::sched::{self, Decisions, Policy};
+use knotlanding::store::keys::{self, JobRecord, LiveRecord, RosterRecord};
+use knotlanding::store::replica::Replica;
+use knotlanding::store::{to_value, Outcome, Row, StoreError};
+use knotlanding::wire::{Cause, ListedMachine, Order, Report, ReportedTask, TaskPhase};
+
+/// A small cluster with a clock, and what has happened in it so far as text.
+pub struct Scene {
+    pub settings: Settings,
+    pub policy: Policy,
+    pub cluster: Cluster,
+    pub records: Vec<(String, knotlanding::store::Value)>,
+    pub now: Instant,
+    pub start: Instant,
+    pub seq: u64,
+    pub revision: u64,
+    pub log: String,
+    /// The token that the next report shows, if it is not a term's first.
+    pub heard: Option<Token>,
+}
+
+/// The time of day in all scenes: with the real one, jobs submitted together would differ in age
+/// by a millisecond now and then, and with it in order.
+pub fn wall() -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_secs(1_800_000_000)
+}
+
+pub fn builds() -> Vec<Build> {
+    let build = |name: &str, cpus: f64, gpus: f64, price: f64| Build {
+        name: name.to_owned(),
+        room: Amount {
+            cpus,
+            gpus,
+            memory: 64.0,
+        },
+        price,
+        spot_price: price / 3.0,
+        boot: Duration::from_secs(40),
+        cache_gb: 50.0,
+        fetch_rate: 0.5,
+        zones: vec!["north".to_owned(), "south".to_owned()],
+    };
+    vec![
+        build("cpu16", 16.0, 0.0, 0.9),
+        build("gpu2", 12.0, 2.0, 6.0),
+    ]
+}
+
+pub fn gang(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: JobId::parse(id).unwrap(),
+        class: "prompt".to_owned(),
+        team: "blue".to_owned(),
+        shape: Shape::Gang,
+        rank: Rank::Urgent,
+        tasks,
+        need: Amount {
+            cpus: 15.0,
+            gpus: 0.0,
+            memory: 20.0,
+        },
+        builds: None,
+        zone: None,
+        one_zone: true,
+        spread: false,
+        spot: true,
+        image: "img-1".to_owned(),
+        image_gb: 3.0,
+        estimate_s: 100.0,
+        checkpoint_s: 30.0,
+        save_s: 5.0,
+        due_s: None,
+    }
+}
+
+pub fn array(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        shape: Shape::Array,
+        rank: Rank::Standard,
+        class: "batch".to_owned(),
+        team: "red".to_owned(),
+        need: Amount {
+            cpus: 5.0,
+            gpus: 1.0,
+            memory: 20.0,
+        },
+        one_zone: false,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        due_s: Some(300.0),
+        ..gang(id, tasks)
+    }
+}
+
+impl Scene {
+    /// Takes over with these records as of term 1.
+    pub fn with(records: Vec<(String, knotlanding::store::Value)>) -> Self {
+        let text = super::common::settings_text(
+            "knot-0",
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            "127.0.0.1:3",
+            "127.0.0.1:4",
+        );
+        let settings = Settings::parse(&text, "test").unwrap();
+        let start = Instant::now() + Duration::from_secs(100_000);
+        let mut scene = Self {
+            policy: Policy::new(&settings),
+            cluster: Cluster::take_over(
+                Term(1),
+                &settings,
+                &Replica::default(),
+                Arc::new(builds()),
+                start,
+                wall(),
+            ),
+            settings,
+            records,
+            now: start,
+            start,
+            seq: 0,
+            revision: 100,
+            log: String::new(),
+            heard: None,
+        };
+        scene.take_over(1);
+        scene
+    }
+
+    pub fn new() -> Self {
+        Self::with(Vec::new())
+    }
+
+    pub fn note(&mut self, line: &str) {
+        let at = self.now.duration_since(self.start).as_secs_f64();
+        writeln!(self.log, "{at:6.1}s {line}").unwrap();
+    }
+
+    pub fn replica(&self) -> Replica {
+        let rows = self.records.iter().enumerate();
+        let rows = rows.map(|(at, (key, value))| Row {
+            key: key.clone(),
+            value: value.clone(),
+            version: at as u64 + 1,
+        });
+        let mut replica = Replica::default();
+        replica.load(rows.collect(), self.records.len() as u64);
+        replica
+    }
+
+    pub fn record(&mut self, key: String, value: knotlanding::store::Value) {
+        self.records.retain(|(known, _)| *known != key);
+        self.records.push((key, value));
+    }
+
+    pub fn take_over(&mut self, term: u64) {
+        self.cluster = Cluster::take_over(
+            Term(term),
+            &self.settings,
+            &self.replica(),
+            Arc::new(builds()),
+            self.now,
+            wall(),
+        );
+        let unsettled = self.cluster.unsettled.len();
+        self.note(&format!(
+            "term {term} begins, {unsettled} machines unsettled"
+        ));
+    }
+
+    pub fn submit(&mut self, spec: JobSpec) {
+        self.note(&format!("submitted: {} x{}", spec.id, spec.tasks));
+        for (key, value) in accepted(&spec, false) {
+            self.record(key, value);
+        }
+        self.sync(&spec.id);
+    }
+
+    pub fn cancel(&mut self, id: &str) {
+        self.note(&format!("cancelled by its user: {id}"));
+        let id = JobId::parse(id).unwrap();
+        let record = JobRecord {
+            verdict: Verdict::Cancelled,
+            tasks: 1,
+        };
+        self.record(keys::job(&id), to_value(&record));
+        self.sync(&id);
+    }
+
+    pub fn sync(&mut self, id: &JobId) {
+        let replica = self.replica();
+        let wall = wall();
+        self.cluster.sync_job(id, &replica, self.now, wall, false);
+    }
+
+    pub fn pass(&mut self, s: f64) {
+        self.now += Duration::from_secs_f64(s);
+    }
+
+    /// One round, with all writes committed unless they are refused.
+    pub fn round(&mut self) -> Decisions {
+        self.round_with(true)
+    }
+
+    pub fn round_with(&mut self, writes_work: bool) -> Decisions {
+        for machine in self.cluster.machines.values() {
+            assert_eq!(*machine.load(), machine.counted(), "{}", machine.id);
+        }
+        self.cluster.expire(self.now);
+        let decisions = sched::round(&self.cluster, &self.policy, self.now);
+        sched::apply(&mut self.cluster, &decisions, self.now);
+        for start in &decisions.starts {
+            let to: Vec<_> = start
+                .members
+                .iter()
+                .map(|(i, m)| format!("{i} on {m}"))
+                .collect();
+            self.note(&format!("round: start {} [{}]", start.job, to.join(", ")));
+        }
+        for (job, why) in &decisions.gang_stops {
+            self.note(&format!("round: stop gang {job}: {why}"));
+        }
+        for halt in &decisions.halts {
+            self.note(&format!("round: stop {} on {}", halt.task, halt.machine));
+        }
+        for (job, why) in &decisions.waits {
+            self.note(&format!("round: {job} waits for {why}"));
+        }
+        self.write(writes_work);
+        let direct = self.cluster.direct_orders(self.now);
+        for direct in &direct {
+            let Direct { machine, body, .. } = direct;
+            let raised = body.token & 0xfffff;
+            let orders = shown(&body.orders);
+            self.note(&format!(
+                "straight to {machine} (raised {raised}): {orders}"
+            ));
+        }
+        decisions
+    }
+
+    pub fn write(&mut self, works: bool) {
+        let replica = self.replica();
+        for write in self.cluster.due_writes(&replica) {
+            let outcome = if works {
+                self.revision += 1;
+                Outcome::Committed(self.revision)
+            } else {
+                Outcome::Failed(StoreError::Refused(503))
+            };
+            let what = match &write.kind {
+                RecordKind::Started(id, Sent::Anywhere) => format!("{id} started, anywhere"),
+                RecordKind::Started(id, Sent::Hosts(hosts)) => {
+                    format!("{id} started, on {hosts:?} at most")
+                }
+                RecordKind::Done(id, chunk, bits) => format!("{id} done chunk {chunk} = {bits}"),
+                RecordKind::Finished(id) => format!("{id} is done"),
+                RecordKind::Retired(id) => format!("{id} retired"),
+                RecordKind::Roster(shard, names) => format!("roster {shard} = {names:?}"),
+            };
+            self.note(&format!(
+                "write {}: {what}",
+                if works { "ok" } else { "refused" }
+            ));
+            self.cluster.written(&write.kind, &outcome);
+        }
+    }
+
+    /// A report with an explicit number; what it is answered.
+    pub fn report_as(
+        &mut self,
+        machine: &str,
+        (session, seq, token): (u64, u64, u64),
+        tasks: &[(&str, u64, TaskPhase, Option<Cause>)],
+        own: bool,
+    ) -> Verified {
+        let way = if own { Way::Own } else { Way::Asked(self.now) };
+        let (build, zone) = place_of(machine);
+        let tasks: Vec<ReportedTask> = tasks
+            .iter()
+            .map(|(task, attempt, phase, cause)| ReportedTask {
+                task: (*task).to_owned(),
+                attempt: *attempt,
+                phase: *phase,
+                cause: *cause,
+                saved: None,
+            })
+            .collect();
+        let list: Vec<String> = tasks
+            .iter()
+            .map(|t| format!("{}#{:x} {:?}{}", t.task, t.attempt, t.phase, cause(t.cause)))
+            .collect();
+        let report = Report {
+            machine: machine.to_owned(),
+            address: "127.0.0.1:9".to_owned(),
+            build: build.to_owned(),
+            zone: zone.to_owned(),
+            spot: false,
+            session,
+            seq,
+            token: self
+                .heard
+                .unwrap_or_default()
+                .0
+                .max(Token::first(Term(token)).0),
+            notice_s: None,
+            tasks,
+        };
+        let verified = self.cluster.report(&report, way, self.now);
+        let kind = if own { "report" } else { "direct answer" };
+        self.note(&format!(
+            "{kind} of {machine} ({session}.{seq} token {token}): [{}] {verified:?}",
+            list.join(", ")
+        ));
+        if own && verified == Verified::Newer {
+            let id = MachineId(machine.into());
+            let orders = self.cluster.answer(&id, self.now);
+            if !orders.is_empty() {
+                self.note(&format!("answer to {machine}: {}", shown(&orders)));
+            }
+        }
+        verified
+    }
+
+    /// The next report of a machine in session 1 that hears all it is told.
+    pub fn report(&mut self, machine: &str, tasks: &[(&str, u64, TaskPhase, Option<Cause>)]) {
+        self.seq += 1;
+        let token = self.cluster.term.0;
+        let id = MachineId(machine.into());
+        self.heard = self.cluster.machines.get(&id).map(|m| m.token);
+        self.report_as(machine, (1, self.seq, token), tasks, true);
+        self.heard = None;
+    }
+
+    /// The cloud's list names these machines.
+    pub fn listed(&mut self, names: &[&str]) {
+        let list: Vec<ListedMachine> = names
+            .iter()
+            .map(|name| ListedMachine {
+                id: (*name).to_owned(),
+                address: "127.0.0.1:9".to_owned(),
+                build: place_of(name).0.to_owned(),
+                zone: place_of(name).1.to_owned(),
+                spot: false,
+                status: "running".to_owned(),
+                age_s: 100.0,
+            })
+            .collect();
+        self.cluster.listed(&list, self.now);
+    }
+
+    /// Machines that have reported and are on the roster.
+    pub fn machines(&mut self, names: &[&str]) {
+        for name in names {
+            self.report(name, &[]);
+        }
+        self.round();
+    }
+
+    pub fn fleet(&mut self, decisions: &Decisions) {
+        let market = Market::default();
+        let thrift = Thrift::default();
+        let actions = fleet::plan(&Look {
+            cluster: &self.cluster,
+            policy: &self.policy,
+            short: &decisions.short,
+            market: &market,
+            thrift,
+            now: self.now,
+        });
+        for action in actions {
+            self.note(&format!("fleet: {action:?}"));
+        }
+    }
+}
+
+/// A gang of two that runs on the first two of three machines.
+pub fn running_gang() -> Scene {
+    let mut s = Scene::new();
+    s.machines(&["m-c1n", "m-c2n", "m-c3n"]);
+    s.submit(gang("wk-000001", 2));
+    s.round();
+    s.report("m-c1n", &[]);
+    s.report("m-c2n", &[]);
+    s.report("m-c1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
+    s.report("m-c2n", &[("wk-000001/1", FIRST, RUNNING, None)]);
+    s
+}
+
+pub fn accepted(spec: &JobSpec, started: bool) -> Vec<(String, knotlanding::store::Value)> {
+    let submitted = wall().duration_since(SystemTime::UNIX_EPOCH);
+    let job = JobRecord {
+        verdict: Verdict::Accepted,
+        tasks: spec.tasks,
+    };
+    let live = LiveRecord {
+        spec: spec.clone(),
+        submitted_ms: submitted.unwrap().as_millis() as u64,
+        started,
+        hosts: None,
+    };
+    vec![
+        (keys::job(&spec.id), to_value(&job)),
+        (keys::live(&spec.id), to_value(&live)),
+    ]
+}
+
+pub fn roster(machines: &[&str]) -> (String, knotlanding::store::Value) {
+    let machines = machines.iter().map(|m| (*m).to_owned()).collect();
+    (keys::roster(0), to_value(&RosterRecord { machines }))
+}
+
+/// `m-c1n`: the first cpu machine in the north; `m-g2s`: the second gpu one in the south.
+pub fn place_of(machine: &str) -> (&'static str, &'static str) {
+    let build = if machine.contains('c') {
+        "cpu16"
+    } else {
+        "gpu2"
+    };
+    let zone = if machine.ends_with('n') {
+        "north"
+    } else {
+        "south"
+    };
+    (build, zone)
+}
+
+pub fn cause(cause: Option<Cause>) -> String {
+    cause.map_or(String::new(), |cause| format!("({cause:?})"))
+}
+
+pub fn shown(orders: &[Order]) -> String {
+    let each = orders.iter().map(|order| match order {
+        Order::Run { task, attempt } => format!("run {task}#{attempt:x}"),
+        Order::Kill {
+            task,
+            attempt,
+            grace_s,
+        } => format!("kill {task}#{attempt:x} grace {grace_s}"),
+        Order::Clear { task, attempt } => format!("clear {task}#{attempt:x}"),
+    });
+    each.collect::<Vec<_>>().join("; ")
+}
+
+/// The attempt that term 1 gives out first, and its successors.
+pub const FIRST: u64 = 1 << 32 | 1;
+pub const SECOND: u64 = FIRST + 1;
+pub const RUNNING: TaskPhase = TaskPhase::Running;
+pub const GATHERING: TaskPhase = TaskPhase::Gathering;
+pub const EXITED: TaskPhase = TaskPhase::Exited;
--- /dev/null
+++ b/tests/troubles.rs
@@ -0,0 +1,552 @@
+//! Kept traces of troubles: silence, deafness, late copies, new lives, changes of leader, and
+//! what must begin in bounded time.
+
+mod common;
+#[path = "common/scene.rs"]
+mod scene;
+
+use knotlanding::cluster::Verified;
+use knotlanding::model::*;
+use knotlanding::peer::Told;
+use knotlanding::store::keys::{self, LiveRecord};
+use knotlanding::store::to_value;
+use knotlanding::wire::{Cause, TaskPhase};
+use scene::*;
+
+#[test]
+fn late_and_repeated_reports_change_nothing() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.report("m-g1n", &[]);
+    s.report("m-g1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
+    assert_eq!(s.report_as("m-g1n", (1, 1, 0), &[], true), Verified::Older);
+    s.note("a new session is proof that all of the old one is gone");
+    s.report_as("m-g1n", (2, 1, 1), &[], true);
+    s.round();
+    s.note("a machine that was returned does not come back by a late report");
+    s.cluster.machine_gone(&MachineId("m-g1n".into()));
+    assert_eq!(s.report_as("m-g1n", (2, 2, 1), &[], true), Verified::Older);
+    assert!(s.cluster.machines.is_empty());
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_new_leader_starts_nothing_again_before_all_machines_have_spoken() {
+    let mut records = accepted(&array("wk-000001", 2), true);
+    records.extend(accepted(&array("wk-000002", 1), false));
+    records.push(roster(&["m-g1n", "m-g2n"]));
+    let mut s = Scene::with(records);
+    s.note("a report with an older token shows where tasks are, but proves no absence");
+    s.report_as(
+        "m-g1n",
+        (1, 5, 0),
+        &[("wk-000001/0", 7, RUNNING, None)],
+        true,
+    );
+    s.round();
+    s.report_as(
+        "m-g1n",
+        (1, 6, 1),
+        &[("wk-000001/0", 7, RUNNING, None)],
+        true,
+    );
+    s.round();
+    s.report_as(
+        "m-g1n",
+        (1, 7, 1),
+        &[("wk-000001/0", 7, RUNNING, None)],
+        true,
+    );
+    s.note("the other machine is silent; only its return settles it");
+    s.pass(30.0);
+    s.report_as(
+        "m-g1n",
+        (1, 8, 1),
+        &[("wk-000001/0", 7, RUNNING, None)],
+        true,
+    );
+    let decisions = s.round();
+    s.fleet(&decisions);
+    s.cluster.machine_gone(&MachineId("m-g2n".into()));
+    s.report_as("m-g3n", (1, 1, 1), &[], true);
+    s.round();
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn silence_proves_nothing_until_the_lease_is_over() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2n"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.report("m-g1n", &[]);
+    s.report("m-g2n", &[]);
+    s.report("m-g1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
+    s.pass(15.0);
+    s.report("m-g2n", &[]);
+    s.round();
+    s.note("silent, but within its lease: not started elsewhere");
+    s.pass(6.5);
+    s.report("m-g2n", &[]);
+    s.round();
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_zone_that_falls_silent_as_a_whole_keeps_its_machines_for_a_while() {
+    let mut s = Scene::new();
+    let mut job = array("wk-000001", 6);
+    job.team = "blue".to_owned();
+    s.submit(job);
+    let names = ["m-g1n", "m-g2n", "m-g3n", "m-g4s", "m-g5s", "m-g6s"];
+    let tasks: Vec<String> = (0..6).map(|i| format!("wk-000001/{i}")).collect();
+    let works = |s: &mut Scene, at: usize| {
+        s.report(names[at], &[(&tasks[at], 1, RUNNING, None)]);
+    };
+    for at in 0..6 {
+        works(&mut s, at);
+    }
+    s.pass(15.0);
+    for at in 0..3 {
+        works(&mut s, at);
+    }
+    let decisions = s.round();
+    s.note("all of the south is silent, cut off most likely: nothing is returned");
+    s.fleet(&decisions);
+    for at in 3..5 {
+        works(&mut s, at);
+    }
+    let decisions = s.round();
+    s.note("one of the south alone is silent");
+    s.fleet(&decisions);
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_raised_token_brings_the_report_that_takes_a_start_but_not_too_often() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.note("the started flag is written: now the token is raised, once in half a lease");
+    s.round();
+    s.round();
+    s.report("m-g1n", &[]);
+    s.submit(array("wk-000002", 1));
+    s.round();
+    s.round();
+    s.pass(12.0);
+    s.report("m-g1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
+    s.submit(array("wk-000003", 1));
+    s.report(
+        "m-g1n",
+        &[("wk-000002/0", SECOND, EXITED, Some(Cause::Done))],
+    );
+    s.round();
+    s.round();
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_machine_new_to_all_is_planned_for_at_once_but_started_on_only_when_fenced() {
+    let mut s = Scene::new();
+    s.submit(array("wk-000001", 1));
+    s.listed(&["m-g1n", "m-g2n"]);
+    s.report_as("m-g1n", (1, 1, 0), &[], true);
+    s.round();
+    s.note("its first report; the start waits until it knows our term");
+    s.report_as("m-g1n", (1, 2, 1), &[], true);
+    s.note("a late copy of an early report hides what is on the machine");
+    s.submit(array("wk-000002", 1));
+    s.report_as("m-g2n", (1, 1, 0), &[], true);
+    s.round();
+    let other = ("wk-000009/0", 5, RUNNING, None);
+    s.report_as("m-g2n", (1, 9, 0), &[other], true);
+    s.report_as("m-g2n", (1, 10, 1), &[other], true);
+    insta::assert_snapshot!(s.log);
+}
+
+/// A machine whose reports arrive, in the words of the report that shows only the first token.
+fn deaf_report(s: &mut Scene, machine: &str, tasks: &[(&str, u64, TaskPhase, Option<Cause>)]) {
+    s.seq += 1;
+    let seq = s.seq;
+    s.report_as(machine, (1, seq, 1), tasks, true);
+}
+
+#[test]
+fn a_machine_that_reports_but_hears_nothing_gets_no_more_starts_and_is_returned() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2s", "m-g3s", "m-g4s"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.report("m-g1n", &[]);
+    s.note("from here nothing reaches m-g1n, while its reports arrive");
+    let runs = ("wk-000001/0", SECOND, RUNNING, None);
+    for step in 0..6 {
+        s.pass(0.4);
+        deaf_report(&mut s, "m-g1n", &[]);
+        s.report(
+            "m-g2s",
+            if step < 2 {
+                &[]
+            } else {
+                std::slice::from_ref(&runs)
+            },
+        );
+        for other in ["m-g3s", "m-g4s"] {
+            s.report(other, &[]);
+        }
+        let decisions = s.round();
+        s.fleet(&decisions);
+    }
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_machine_that_hears_again_half_way_works_again_and_a_deaf_zone_is_not_returned_at_once() {
+    let mut s = Scene::new();
+    let south = ["m-g2s", "m-g3s", "m-g4s"];
+    s.machines(&["m-g1n", "m-g5n", "m-g6n", "m-g2s", "m-g3s", "m-g4s"]);
+    let mut job = array("wk-000001", 12);
+    job.team = "blue".to_owned();
+    s.submit(job);
+    s.round();
+    for machine in ["m-g1n", "m-g5n", "m-g6n", "m-g2s", "m-g3s", "m-g4s"] {
+        s.report(machine, &[]);
+    }
+    s.note("the south hears nothing from here on");
+    for machine in south {
+        deaf_report(&mut s, machine, &[]);
+    }
+    for _ in 0..5 {
+        s.pass(0.5);
+        for machine in south {
+            deaf_report(&mut s, machine, &[]);
+        }
+        for machine in ["m-g1n", "m-g5n", "m-g6n"] {
+            s.report(machine, &[]);
+        }
+    }
+    let decisions = s.round();
+    s.fleet(&decisions);
+    s.note("m-g2s hears again");
+    s.report("m-g2s", &[]);
+    s.round();
+    s.report("m-g2s", &[]);
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_deaf_machine_does_not_keep_a_new_leader_waiting_for_ever_nor_one_silent_machine_all_jobs() {
+    let mut records = accepted(&array("wk-000001", 1), true);
+    records.extend(accepted(&gang("wk-000002", 1), true));
+    // The record of the second job names where it may be.
+    let id = JobId::parse("wk-000002").unwrap();
+    let mut live = LiveRecord {
+        spec: gang("wk-000002", 1),
+        submitted_ms: 0,
+        started: true,
+        hosts: Some(vec!["m-c1n".to_owned()]),
+    };
+    records.pop();
+    records.push((keys::live(&id), to_value(&live)));
+    live.spec.id = JobId::parse("wk-000003").unwrap();
+    records.push(roster(&["m-c1n", "m-c2n", "m-c3n", "m-g1n"]));
+    let mut s = Scene::with(records);
+    s.listed(&["m-c1n", "m-c2n", "m-c3n", "m-g1n"]);
+    for machine in ["m-c1n", "m-c2n", "m-c3n"] {
+        s.report(machine, &[]);
+    }
+    s.note("m-g1n reports, but never shows our term; only the array can be there");
+    s.report_as(
+        "m-g1n",
+        (4, 7, 0),
+        &[("wk-000001/0", 7, RUNNING, None)],
+        true,
+    );
+    s.round();
+    for _ in 0..4 {
+        s.pass(0.5);
+        s.seq += 1;
+        let seq = s.seq + 7;
+        s.report_as(
+            "m-g1n",
+            (4, seq, 0),
+            &[("wk-000001/0", 7, RUNNING, None)],
+            true,
+        );
+        for machine in ["m-c1n", "m-c2n", "m-c3n"] {
+            s.report(machine, &[]);
+        }
+    }
+    let decisions = s.round();
+    s.fleet(&decisions);
+    s.note("its return is the proof");
+    s.cluster.machine_gone(&MachineId("m-g1n".into()));
+    s.report("m-g2n", &[]);
+    s.round();
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn late_copies_of_reports_bring_nothing_back_and_prove_nothing() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2n"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.report("m-g1n", &[]);
+    s.report("m-g1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
+    s.note("copies from before the start: no second start, and the task is not believed gone");
+    for seq in [1, 3] {
+        assert_eq!(
+            s.report_as("m-g1n", (1, seq, 1), &[], true),
+            Verified::Older
+        );
+    }
+    s.round();
+    s.cancel("wk-000001");
+    s.round();
+    s.report(
+        "m-g1n",
+        &[("wk-000001/0", FIRST, EXITED, Some(Cause::Stopped))],
+    );
+    s.note("a copy from before the stop: the task is not back, and its room is free");
+    let seq = s.seq - 1;
+    s.report_as(
+        "m-g1n",
+        (1, seq, 1),
+        &[("wk-000001/0", FIRST, RUNNING, None)],
+        true,
+    );
+    s.submit(array("wk-000002", 4));
+    s.round();
+    s.note("a machine that was returned, then copies of what it said");
+    s.cluster.machine_gone(&MachineId("m-g2n".into()));
+    s.report_as(
+        "m-g2n",
+        (1, 90, 1),
+        &[("wk-000002/0", 9, RUNNING, None)],
+        true,
+    );
+    let told: Vec<String> = s
+        .cluster
+        .news()
+        .gone
+        .iter()
+        .map(|m| m.to_string())
+        .collect();
+    s.note(&format!(
+        "the other nodes are told that it is gone: {told:?}"
+    ));
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_copy_from_before_a_change_of_leader_is_a_hint_only() {
+    let mut records = accepted(&array("wk-000001", 1), true);
+    records.push(roster(&["m-g1n"]));
+    let mut s = Scene::with(records);
+    let mut told = Told::default();
+    told.gone.push_back(MachineId("m-g9n".into()));
+    s.cluster.hint(&told);
+    s.note("copies: of a roster machine without the task, of one gone, of one nobody knows");
+    s.report_as("m-g1n", (1, 3, 0), &[], true);
+    s.report_as(
+        "m-g9n",
+        (1, 3, 0),
+        &[("wk-000001/0", 4, RUNNING, None)],
+        true,
+    );
+    s.report_as("m-g8n", (1, 1, 0), &[], true);
+    s.round();
+    s.report_as(
+        "m-g1n",
+        (1, 8, 1),
+        &[("wk-000001/0", 4, RUNNING, None)],
+        true,
+    );
+    s.round();
+    s.pass(2.0);
+    s.report_as(
+        "m-g1n",
+        (1, 9, 1),
+        &[("wk-000001/0", 4, RUNNING, None)],
+        true,
+    );
+    let decisions = s.round();
+    s.note("the ghost is given up");
+    s.fleet(&decisions);
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_machine_that_begins_again_under_its_name_is_told_from_a_late_copy_by_asking_it() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.report("m-g1n", &[]);
+    s.report("m-g1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
+    s.pass(0.2);
+    s.note("back at once: its session and number begin again");
+    s.report_as("m-g1n", (1, 1, 0), &[], true);
+    s.round();
+    s.pass(0.1);
+    s.report_as("m-g1n", (1, 2, 1), &[], false);
+    s.note("what was on it went with its former life; copies of what that said are told apart");
+    s.round();
+    let running = ("wk-000001/0", FIRST, RUNNING, None);
+    let copy = s.report_as("m-g1n", (1, 40, 1), &[running], true);
+    assert_eq!(copy, Verified::Older);
+    s.note("the new life brings back the token that only it was given");
+    s.seq = 4;
+    s.report("m-g1n", &[]);
+    insta::assert_snapshot!(s.log);
+}
+
+/// Small jobs arrive faster than they leave; whatever is large has to begin all the same.
+#[test]
+fn the_largest_jobs_begin_in_bounded_time_under_a_stream_of_small_ones() {
+    let mut s = Scene::new();
+    let names: Vec<String> = (0..6).map(|n| format!("m-c{n}n")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    s.machines(&names);
+    let mut running: Vec<(String, u64, String, f64)> = Vec::new();
+    s.submit(gang("wk-900000", 6));
+    let mut never = array("wk-900001", 3);
+    never.need.gpus = 4.0;
+    s.submit(never);
+    let (mut next, mut began) = (1, None);
+    for second in 0..240u32 {
+        s.log.clear();
+        s.pass(1.0);
+        let mut small = gang(&format!("wk-{next:06}"), 1 + next % 2);
+        small.team = if next % 3 == 0 { "red" } else { "blue" }.to_owned();
+        s.submit(small);
+        next += 1;
+        let decisions = s.round();
+        if decisions
+            .starts
+            .iter()
+            .any(|start| start.job.as_str() == "wk-900000")
+        {
+            began = Some(second);
+            break;
+        }
+        for start in decisions.starts {
+            let attempt = s.cluster.jobs[&start.job].attempt.unwrap().0;
+            for (index, machine) in start.members {
+                running.push((
+                    format!("{}/{index}", start.job),
+                    attempt,
+                    machine.to_string(),
+                    0.0,
+                ));
+            }
+        }
+        for name in &names {
+            let mut tasks = Vec::new();
+            for (task, attempt, machine, age) in &mut running {
+                if machine == name {
+                    *age += 1.0;
+                    let over = *age > 20.0;
+                    let phase = if over { EXITED } else { RUNNING };
+                    let cause = over.then_some(Cause::Done);
+                    if *age > 1.0 {
+                        tasks.push((task.as_str(), *attempt, phase, cause));
+                    }
+                }
+            }
+            s.report(name, &tasks);
+        }
+        running.retain(|(.., age)| *age <= 22.0);
+    }
+    assert!(began.is_some(), "it never began");
+}
+
+/// Seen on a recorded day: what was stopped for a gang started again in the first room that came
+/// free, and was stopped again, thousands of times.
+#[test]
+fn room_made_for_a_gang_is_kept_until_the_last_of_it_is_free() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2n"]);
+    let mut low = array("wk-000001", 4);
+    low.checkpoint_s = 15.0;
+    low.save_s = 6.0;
+    s.submit(low);
+    s.round();
+    s.report("m-g1n", &[]);
+    s.report("m-g2n", &[]);
+    let task = |n: u64, phase, cause| {
+        (
+            ["wk-000001/0", "wk-000001/1", "wk-000001/2", "wk-000001/3"][n as usize],
+            FIRST + n,
+            phase,
+            cause,
+        )
+    };
+    let runs = |n| task(n, RUNNING, None);
+    let gone = |n| task(n, EXITED, Some(Cause::Stopped));
+    s.report("m-g1n", &[runs(0), runs(1)]);
+    s.report("m-g2n", &[runs(2), runs(3)]);
+    let mut high = gang("wk-000002", 2);
+    high.need.cpus = 12.0;
+    s.submit(high);
+    s.round();
+    s.pass(0.5);
+    s.report("m-g1n", &[gone(0), gone(1)]);
+    s.report("m-g2n", &[runs(2), runs(3)]);
+    s.note("one of the two machines is free: nothing else goes there");
+    s.round();
+    s.pass(0.5);
+    s.report("m-g1n", &[]);
+    s.report("m-g2n", &[gone(2), gone(3)]);
+    s.round();
+    insta::assert_snapshot!(s.log);
+}
+
+#[test]
+fn a_team_at_its_limit_and_a_job_that_fails_everywhere_hold_nobody_else_up() {
+    let mut s = Scene::new();
+    let names = ["m-g1n", "m-g2n", "m-g3n", "m-g4n", "m-g5n"];
+    s.machines(&names);
+    s.submit(array("wk-000001", 9));
+    s.round();
+    s.note("red uses all that it may; a job of blue has failed on three machines");
+    let mut faulty = array("wk-000002", 1);
+    faulty.team = "blue".to_owned();
+    s.submit(faulty);
+    for (machine, attempt) in [("m-g3n", 77), ("m-g4n", 78), ("m-g5n", 79)] {
+        s.report(
+            machine,
+            &[("wk-000002/0", attempt, EXITED, Some(Cause::Error))],
+        );
+    }
+    s.pass(11.0);
+    for name in names {
+        s.report(name, &[]);
+    }
+    let mut other = array("wk-000003", 2);
+    other.team = "blue".to_owned();
+    s.submit(other);
+    s.round();
+    insta::assert_snapshot!(s.log);
+}
+
+/// Seen on a hunted day: while a large gang waited for the last of its machines, the first ones
+/// were returned as idle and others were rented.
+#[test]
+fn machines_that_a_waiting_gang_counts_on_are_not_returned_as_idle() {
+    let mut s = Scene::new();
+    s.machines(&["m-c1n", "m-c2n", "m-g1n"]);
+    s.pass(3000.0);
+    for machine in ["m-c1n", "m-c2n", "m-g1n"] {
+        s.report(machine, &[]);
+    }
+    s.submit(gang("wk-000001", 3));
+    let decisions = s.round();
+    s.fleet(&decisions);
+    insta::assert_snapshot!(s.log);
+}
