--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -235,6 +235,21 @@
     s.report("m-g2s", &[]);
     s.round();
     s.report("m-g2s", &[]);
+    s.note("the others don't: once it is one machine or two, they are not taken for a cut zone");
+    s.pass(1.0);
+    let works = [
+        ("wk-000001/6", FIRST + 18, RUNNING, None),
+        ("wk-000001/7", FIRST + 19, RUNNING, None),
+    ];
+    s.report("m-g2s", &works);
+    for machine in ["m-g3s", "m-g4s"] {
+        deaf_report(&mut s, machine, &[]);
+    }
+    for machine in ["m-g1n", "m-g5n", "m-g6n"] {
+        s.report(machine, &[]);
+    }
+    let decisions = s.round();
+    s.fleet(&decisions);
     insta::assert_snapshot!(s.log);
 }
 
@@ -322,6 +337,14 @@
     );
     s.submit(array("wk-000002", 4));
     s.round();
+    s.note("a new session, then copies of what the old one said: no blame, nothing is back");
+    s.report_as("m-g1n", (2, 1, 1), &[], true);
+    let failed = ("wk-000001/0", FIRST, EXITED, Some(Cause::Error));
+    for seq in [4, 70] {
+        let copy = s.report_as("m-g1n", (1, seq, 1), &[failed], true);
+        assert_eq!(copy, Verified::Older);
+    }
+    assert!(s.cluster.machines.values().all(|m| m.blame.is_empty()));
     s.note("a machine that was returned, then copies of what it said");
     s.cluster.machine_gone(&MachineId("m-g2n".into()));
     s.report_as(
