Sockets are shared out by purpose; reports end their connection when short

Now each purpose has a part of max_sockets, answers close connections from 85% on, workers that are sent elsewhere are told to close, idle ones go after two report intervals, and direct commands have a client of their own.

--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -68,7 +68,7 @@
             http: self.http.clone(),
             shortages: self.shortages.clone(),
             writes_rest_until: Shelf::default(),
-            at_once: Semaphore::new(self.shared.direct_limit()),
+            at_once: Semaphore::new(self.shared.sockets.direct),
         };
         actix::spawn(Rc::new(rounds).run());
     }
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -49,7 +49,7 @@
 ) -> Result<ServiceResponse<impl MessageBody>, actix_web::Error> {
     let shared = request.app_data::<web::Data<Shared>>().cloned();
     let mut answer = next.call(request).await?;
-    if shared.is_some_and(|shared| shared.crowded()) {
+    if shared.is_some_and(|shared| shared.open() > shared.sockets.users_close) {
         let head = answer.response_mut().head_mut();
         head.set_connection_type(ConnectionType::Close);
     }
--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use actix_web::http::StatusCode;
+use actix_web::http::{ConnectionType, StatusCode};
 use actix_web::{web, HttpResponse};
 
 use super::{cbor, problem};
@@ -13,10 +13,24 @@
 use crate::wire::{self, Order, Redirect, Report, ReportAnswer};
 
 /// `POST /hello`
+///
+/// Connections are closed after the answer where they run short, and wherever the worker is
+/// sent elsewhere: all workers leave a former leader at once, and come to it again when they
+/// look for a new one.
 pub async fn hello(
     shared: web::Data<Shared>,
     body: Result<web::Bytes, actix_web::Error>,
 ) -> HttpResponse {
+    let mut answer = respond(&shared, body);
+    let stays = answer.status() == StatusCode::OK;
+    if !stays || shared.open() > shared.sockets.reports_close {
+        let head = answer.head_mut();
+        head.set_connection_type(ConnectionType::Close);
+    }
+    answer
+}
+
+fn respond(shared: &Shared, body: Result<web::Bytes, actix_web::Error>) -> HttpResponse {
     let Ok(body) = body else {
         return problem(StatusCode::BAD_REQUEST, "body too large or cut off");
     };
@@ -37,7 +51,7 @@
         Ok(report) => report,
         Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
     };
-    match take(&shared, &report, term, now) {
+    match take(shared, &report, term, now) {
         Some((token, orders, wake)) => {
             if wake {
                 shared.wake_round.notify_one();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod run;
 pub mod sched;
 pub mod service;
+pub mod sockets;
 pub mod store;
 pub mod wire;
--- a/src/run.rs
+++ b/src/run.rs
@@ -19,11 +19,7 @@
 use crate::store::client::StoreClient;
 use crate::{api, peer};
 
-/// Part of the sockets for peers and operators.
-const PEER_PART: f64 = 0.05;
-/// Part of the sockets for our own connections to any one place.
-const OWN_PART: f64 = 0.12;
-/// Idle connections stay open for that long: longer than any interval of reports or polls.
+/// Idle connections between the nodes and to the services stay open for that long.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// A connection that has not come about by then won't.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
@@ -43,16 +39,15 @@
 
 /// Serves until the process is ended.
 pub async fn serve(settings: Settings) -> io::Result<()> {
-    let sockets = settings.params.resources.max_sockets as f64;
-    let peer_limit = (sockets * PEER_PART).max(8.0) as usize;
-    let own_limit = (sockets * OWN_PART).max(8.0) as usize;
     let (public_addr, peer_bind) = (settings.public_addr, settings.peer_bind);
     let external = settings.external.clone();
     let member = settings.member.clone();
 
     let shared = Shared::new(settings);
-    let public_limit = shared.public_limit();
-    let http = http_client(own_limit);
+    let sockets = shared.sockets.clone();
+    let http = http_client(sockets.own);
+    // Machines that don't answer must not hold the places of those who ask the services.
+    let direct = http_client(sockets.direct);
     let client = StoreClient::new(external.state, http.clone());
     let store = StoreActor::new(client.clone(), shared.clone()).start();
     let shortages = Shortages::default();
@@ -70,9 +65,9 @@
         extensions.insert(OpenConnection::new(open.clone()));
     })
     .workers(1)
-    .max_connections(public_limit)
+    .max_connections(sockets.public)
     .backlog(BACKLOG)
-    .keep_alive(KEEP_ALIVE)
+    .keep_alive(sockets.idle)
     .disable_signals()
     .bind(public_addr)?
     .run();
@@ -87,14 +82,14 @@
             .configure(api::admin::routes)
     })
     .workers(1)
-    .max_connections(peer_limit)
+    .max_connections(sockets.peers_in)
     .keep_alive(KEEP_ALIVE)
     .disable_signals()
     .bind(peer_bind)?
     .run();
 
     LeaderActor::new(shared.clone(), client, store.clone()).start();
-    RoundActor::new(shared.clone(), store, http.clone(), shortages.clone()).start();
+    RoundActor::new(shared.clone(), store, direct, shortages.clone()).start();
     let cloud = CloudClient::new(external.cloud, http.clone());
     FleetActor::new(shared.clone(), cloud, shortages).start();
     PeersActor::new(shared, http).start();
--- a/src/service.rs
+++ b/src/service.rs
@@ -19,6 +19,7 @@
 use crate::model::MachineId;
 use crate::peer::Told;
 use crate::sched::Policy;
+use crate::sockets::Sockets;
 use crate::store::from_value;
 use crate::store::replica::{News, Replica};
 
@@ -177,6 +178,8 @@
 pub struct Shared {
     /// The platform's settings.
     pub settings: Settings,
+    /// How the sockets are shared out.
+    pub sockets: Sockets,
     /// What scheduling needs of them.
     pub policy: Policy,
     /// Our records.
@@ -209,14 +212,6 @@
     pub wake_leader: Notify,
 }
 
-/// Part of the sockets that users' and workers' connections may take; the rest is for our
-/// own to the state service, the cloud, the workers and the peers.
-const PUBLIC_PART: f64 = 0.7;
-/// Part for direct commands to workers.
-const DIRECT_PART: f64 = 0.05;
-/// Part of those at which users' connections are closed after each answer: beyond the limit
-/// none is accepted, and workers must not be shut out by users who keep theirs open.
-const CROWDED_PART: f64 = 0.6;
 /// A node whose contact is older than this while another node's is not can take no requests.
 const CONTACT_LOST: Duration = Duration::from_secs(4);
 
@@ -224,6 +219,7 @@
     /// The state of a process that has just started.
     pub fn new(settings: Settings) -> Arc<Self> {
         Arc::new(Self {
+            sockets: Sockets::of(&settings),
             policy: Policy::new(&settings),
             role: Shelf::new(Role::new(&settings)),
             replica: Shelf::default(),
@@ -270,22 +266,9 @@
         (loaded && !failing) || !(peer_fine || alone)
     }
 
-    /// Most connections taken on the public address.
-    pub fn public_limit(&self) -> usize {
-        let sockets = self.settings.params.resources.max_sockets as f64;
-        (sockets * PUBLIC_PART).max(1.0) as usize
-    }
-
-    /// Most direct commands under way at once.
-    pub fn direct_limit(&self) -> usize {
-        let sockets = self.settings.params.resources.max_sockets as f64;
-        (sockets * DIRECT_PART).max(1.0) as usize
-    }
-
-    /// Whether connections run short, so that users' must not be kept open.
-    pub fn crowded(&self) -> bool {
-        let open = self.connections.load(Ordering::Relaxed);
-        open as f64 > self.public_limit() as f64 * CROWDED_PART
+    /// Connections open on the public address.
+    pub fn open(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
     }
 
     /// Passes on what the watch brought.
--- /dev/null
+++ b/src/sockets.rs
@@ -0,0 +1,115 @@
+//! How a process's sockets are shared out.
+//!
+//! With hundreds of machines for every hundred sockets, the workers' kept connections alone
+//! would take them all: new machines could not report, and leases would end on machines that
+//! are well. So each purpose has its part, all parts together stay below the limit, and
+//! connections that are cheap to open again are closed after their answer before their part is
+//! used up.
+
+use std::time::Duration;
+
+use crate::config::{secs, Settings};
+
+/// Connections to the state service at most: transactions under way, a check, the watch, the
+/// lease, with as many again whose answers were given up and that are still open.
+const TO_STORE: usize = 16;
+/// Connections to the cloud: one request at a time, and former ones given up.
+const TO_CLOUD: usize = 4;
+/// Connections to, and from, each other node: a digest and a question, and former ones.
+const EACH_PEER: usize = 3;
+/// Connections of operators.
+const OPERATORS: usize = 8;
+/// Part for direct commands to workers, each of which has a connection of its own.
+const DIRECT_PART: f64 = 0.05;
+/// Part left for connections that are being closed and for those not yet taken up.
+const SPARE_PART: f64 = 0.05;
+/// Part of the public connections from which on reports are answered with an end of the
+/// connection. A worker opens another for its next report; kept ones only save that.
+const REPORTS_CLOSE_PART: f64 = 0.85;
+/// The same for users. They come last, since the load balancer sends new connections to where
+/// few are open.
+const USERS_CLOSE_PART: f64 = 0.92;
+/// Least share of the limit for the public address, whatever the others want.
+const LEAST_PUBLIC_PART: f64 = 0.5;
+/// An idle connection stays open for this many reports: longer than any interval between two,
+/// and not so long that what is left of machines that died keeps their places.
+const IDLE_REPORTS: f64 = 2.0;
+/// Users poll every five seconds or so; a connection kept for less would be of no use.
+const IDLE_LEAST: Duration = Duration::from_secs(12);
+
+/// The shares of one process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sockets {
+    /// Connections taken on the public address.
+    pub public: usize,
+    /// Open public ones from which on reports' connections are closed after their answer.
+    pub reports_close: usize,
+    /// The same for users.
+    pub users_close: usize,
+    /// Connections taken from the other nodes and from operators.
+    pub peers_in: usize,
+    /// Connections to the state service, the cloud and the other nodes.
+    pub own: usize,
+    /// Direct commands under way at once.
+    pub direct: usize,
+    /// How long an idle public connection stays open.
+    pub idle: Duration,
+}
+
+impl Sockets {
+    /// From the settings.
+    pub fn of(settings: &Settings) -> Self {
+        let all = settings.params.resources.max_sockets;
+        let part = |part: f64, of: usize| (of as f64 * part).max(1.0) as usize;
+        let peers = settings.known.len();
+        let peers_in = OPERATORS + EACH_PEER * peers;
+        let own = TO_STORE + TO_CLOUD + EACH_PEER * peers;
+        let direct = part(DIRECT_PART, all);
+        let others = peers_in + own + direct + part(SPARE_PART, all);
+        let public = all.saturating_sub(others).max(part(LEAST_PUBLIC_PART, all));
+        let report = secs(settings.params.workers.report_s);
+        Self {
+            public,
+            reports_close: part(REPORTS_CLOSE_PART, public),
+            users_close: part(USERS_CLOSE_PART, public),
+            peers_in,
+            own,
+            direct,
+            idle: report.mul_f64(IDLE_REPORTS).max(IDLE_LEAST),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn settings(sockets: usize, nodes: usize) -> Settings {
+        let known: String = (1..nodes)
+            .map(|n| format!("[[known]]\nmember = \"k-{n}\"\npeer_addr = \"10.0.0.{n}:8081\"\n"))
+            .collect();
+        let text = include_str!("../deploy/example.toml")
+            .replace("max_sockets = 2000", &format!("max_sockets = {sockets}"))
+            .replace("[external]", &format!("{known}[external]"));
+        Settings::parse(&text, "a test").unwrap()
+    }
+
+    /// All purposes at their fullest at once must fit, or the state service gets no socket.
+    #[test]
+    fn all_shares_together_fit_the_limit_with_room_for_what_is_being_closed() {
+        for (limit, nodes) in [(500, 3), (2000, 3), (2100, 5), (3068, 7), (3500, 3)] {
+            let shares = Sockets::of(&settings(limit, nodes));
+            let sum = shares.public + shares.peers_in + shares.own + shares.direct;
+            assert!(sum * 100 <= limit * 96, "{limit}: {shares:?}");
+            assert!(shares.public * 100 >= limit * 70, "{limit}: {shares:?}");
+            assert!(shares.reports_close < shares.users_close);
+            assert!(shares.users_close < shares.public);
+        }
+    }
+
+    #[test]
+    fn few_sockets_still_leave_half_for_the_public() {
+        let shares = Sockets::of(&settings(60, 7));
+        assert!(shares.public >= 30, "{shares:?}");
+    }
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -11,6 +11,8 @@
 use std::time::{Duration, Instant};
 
 use ciborium::{cbor, Value};
+use knotlanding::config::Settings;
+use knotlanding::sockets::Sockets;
 use standins::{decode, encode, free_address, number, text, Cloud, State};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_knotlanding");
@@ -454,8 +456,11 @@
     assert!(!raw_poll(bench.public.clone())
         .await
         .contains("connection: close"));
-    // Of 500 sockets 350 are for users and workers; 210 of them make a crowd.
-    let crowd: Vec<TcpStream> = (0..260)
+    // Users are asked to close theirs a little below what is taken at most.
+    let settings = Settings::load(&bench.file).unwrap();
+    let sockets = Sockets::of(&settings);
+    let few = (sockets.public - sockets.users_close) / 2;
+    let crowd: Vec<TcpStream> = (0..sockets.users_close + few)
         .map(|_| TcpStream::connect(&bench.public).unwrap())
         .collect();
     let began = Instant::now();
