A leader that workers can't reach hands over; acting is judged on the clock as it is

Now nodes tell the leader how many workers they sent elsewhere; one that hears hardly any machine while many knock ends its lease and stands back for 5 s.

--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -251,8 +251,18 @@
         actions
     }
 
+    /// Whether the term for which this was decided still lasts. Asked right before each request:
+    /// the pace, the one before, or standing still may have taken longer than the lead lasts.
+    fn leads(&self) -> bool {
+        let lead = self.shared.role.lock().leading(Instant::now());
+        lead.is_some_and(|lead| lead.term == self.term)
+    }
+
     async fn hire(&mut self, hire: HireBody, offer: Offer) -> Hired {
         self.pace().await;
+        if !self.leads() {
+            return Hired::Unknown;
+        }
         let outcome = self.cloud.hire(&hire).await;
         let now = Instant::now();
         match outcome {
@@ -292,6 +302,11 @@
 
     async fn give_back(&mut self, ids: Vec<MachineId>, why: &'static str) {
         self.pace().await;
+        if !self.leads() {
+            // Should we lead again in this term, it is still to be done.
+            self.unreturned.push((ids, why));
+            return;
+        }
         match self.cloud.give_back(&ids).await {
             Ok(()) => {
                 info!(machines = ?ids, why, "returned");
--- a/src/actors/leader.rs
+++ b/src/actors/leader.rs
@@ -88,6 +88,10 @@
             if self.shared.role.lock().own_term().is_none() && revision >= leader.version {
                 self.take_over(&leader.record, leader.version);
             }
+            if self.of_no_use() {
+                self.hand_over(leader.record.lease).await;
+                return PAUSE;
+            }
             return self.renew().await;
         }
         self.leave_lease().await;
@@ -105,6 +109,27 @@
         RENEW_EVERY
     }
 
+    /// Whether we lead and the workers don't get through to us but to others: their leases
+    /// would run out while we renew ours.
+    fn of_no_use(&self) -> bool {
+        let now = Instant::now();
+        let unheard = {
+            let cluster = self.shared.cluster.lock();
+            cluster.as_ref().is_some_and(|c| c.hears_few(now))
+        };
+        unheard && self.shared.astray.lock().lately(now)
+    }
+
+    /// Ends our lease so that another node leads at once.
+    async fn hand_over(&self, lease: u64) {
+        warn!("workers reach other nodes and not us; another one is to lead");
+        self.shared.role.lock().stand_back(Instant::now());
+        self.step_down();
+        if let Err(error) = self.client.end(lease).await {
+            debug!(%error, "our lease will end by itself");
+        }
+    }
+
     fn take_over(&self, record: &LeaderRecord, version: u64) {
         let Some(catalog) = self.shared.catalog.lock().clone() else {
             debug!("cannot take over before the machine types are known");
@@ -204,6 +229,9 @@
             // A leader without machine types could do nothing; let another one try first.
             return RENEW_EVERY;
         }
+        if self.shared.role.lock().stands_back(Instant::now()) {
+            return RENEW_EVERY;
+        }
         let jitter = rand::rng().random_range(0.0..1.0);
         let sent = Instant::now();
         let id = match self.client.grant(LEASE).await {
--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -18,6 +18,9 @@
 /// A peer that takes longer misses one.
 const TELL_LIMIT: Duration = Duration::from_millis(900);
 
+/// Looks further apart than that: the process stood still.
+const STOOD_STILL: Duration = Duration::from_millis(2500);
+
 /// A peer as far as digests go.
 struct Peer {
     address: std::net::SocketAddrV4,
@@ -32,6 +35,7 @@
     peers: Vec<Peer>,
     term: Term,
     number: u64,
+    last: Instant,
 }
 
 impl PeersActor {
@@ -48,6 +52,7 @@
             http,
             term: Term(0),
             number: 0,
+            last: Instant::now(),
         }
     }
 }
@@ -57,6 +62,13 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         ctx.run_interval(TELL_EVERY, |actor, _| {
+            let now = Instant::now();
+            let missed = now.saturating_duration_since(actor.last);
+            actor.last = now;
+            if missed > STOOD_STILL {
+                // Who has said nothing while we stood still is not out of reach for that.
+                *actor.shared.neighbours.lock() = Neighbours::default();
+            }
             actor.tell();
             actor.ask();
         });
@@ -139,12 +151,17 @@
             .content_type(peer::BINCODE)
             .send_body(body);
         let lacks = peer.lacks.clone();
+        let (shared, address) = (self.shared.clone(), peer.address);
         actix::spawn(async move {
             // Without an answer nothing is known: the next digest of changes will tell.
             if let Ok(mut answer) = sent.await {
                 lacks.store(answer.status() == StatusCode::CONFLICT, Ordering::Relaxed);
                 // Read to its end so that the connection can be used again.
-                let _ = answer.body().await;
+                let body = answer.body().await.unwrap_or_default();
+                if let Some(peer::Heard { knocks }) = peer::decode(&body) {
+                    let now = Instant::now();
+                    shared.astray.lock().knocked(address, knocks, now);
+                }
             }
         });
     }
--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -12,7 +12,7 @@
 
 use crate::cluster::{Direct, RecordWrite, Verified, Way};
 use crate::leader::Lead;
-use crate::model::Token;
+use crate::model::{Term, Token};
 use crate::sched::{self, Short};
 use crate::service::{Shared, Shelf};
 use crate::store::actor::{Commit, StoreActor};
@@ -25,6 +25,11 @@
 const LONGEST: Duration = Duration::from_secs(1);
 /// A round may take up to this part of the time; the more it costs, the rarer it gets.
 const ROUND_PART: u32 = 8;
+/// A round that is late by this much is so because nothing of us ran.
+const STOOD_STILL: Duration = Duration::from_millis(1500);
+/// Longest pause after a round that took long: when the process stood still in the middle of
+/// one, that says nothing of what rounds cost.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// Pause after a write that failed.
 const WRITE_PAUSE: Duration = Duration::from_millis(400);
 /// A worker that has not taken a direct command by then gets it by its report.
@@ -74,6 +79,11 @@
     }
 }
 
+/// How long to leave the processor to others after a round that took so long.
+fn pause_after(took: Duration) -> Duration {
+    (took * ROUND_PART).clamp(SHORTEST, LONGEST_PAUSE)
+}
+
 struct Rounds {
     shared: Arc<Shared>,
     store: Addr<StoreActor>,
@@ -86,20 +96,41 @@
 
 impl Rounds {
     async fn run(self: Rc<Self>) {
+        // The term of the round before and when the next one was due.
+        let mut due: Option<(Term, Instant)> = None;
         loop {
             let began = Instant::now();
             let lead = self.shared.role.lock().leading(began);
-            if let Some(lead) = lead {
-                self.round(&lead, began);
+            if let Some(lead) = &lead {
+                if let Some((_, due)) = due.filter(|(term, _)| *term == lead.term) {
+                    self.resume(lead, due, began);
+                }
+                self.round(lead, began);
+            }
+            let pause = pause_after(began.elapsed());
+            if let Some(lead) = &lead {
+                due = Some((lead.term, began + pause.max(LONGEST)));
             }
-            let took = began.elapsed();
-            let pause = (took * ROUND_PART).max(SHORTEST);
             actix::clock::sleep(pause).await;
             let woken = self.shared.wake_round.notified();
             let _ = actix::clock::timeout(LONGEST.saturating_sub(pause), woken).await;
         }
     }
 
+    /// After a time without rounds, as when the process stood still or the state service was
+    /// out, what was not heard meanwhile says nothing about the machines.
+    fn resume(&self, lead: &Lead, due: Instant, now: Instant) {
+        let missed = now.saturating_duration_since(due);
+        if missed < STOOD_STILL {
+            return;
+        }
+        info!(?missed, "rounds go on");
+        let mut guard = self.shared.cluster.lock();
+        if let Some(cluster) = guard.as_mut().filter(|c| c.term == lead.term) {
+            cluster.resume(missed, now);
+        }
+    }
+
     fn round(self: &Rc<Self>, lead: &Lead, now: Instant) {
         let (direct, waits) = {
             let mut guard = self.shared.cluster.lock();
@@ -178,6 +209,11 @@
         let Ok(_permit) = self.at_once.acquire().await else {
             return;
         };
+        // Waiting for a place, or standing still, may have taken longer than the lead lasts.
+        let leading = self.shared.role.lock().leading(Instant::now());
+        if leading.is_none_or(|lead| lead.term != Token(body.token).term()) {
+            return;
+        }
         let asked = Instant::now();
         debug_assert!(!body.orders.iter().any(|o| matches!(o, Order::Run { .. })));
         let sent = self
@@ -215,3 +251,18 @@
         self.shared.wake_round.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A controller that stood still for 51 s in the middle of a round would otherwise hold no
+    /// round for seven minutes, should it lead.
+    #[test]
+    fn the_pause_grows_with_what_a_round_costs_but_not_with_a_time_stood_still() {
+        assert_eq!(pause_after(Duration::ZERO), SHORTEST);
+        let dear = Duration::from_millis(100);
+        assert_eq!(pause_after(dear), dear * ROUND_PART);
+        assert_eq!(pause_after(Duration::from_secs(51)), LONGEST_PAUSE);
+    }
+}
--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -1,5 +1,6 @@
 //! Reports of workers.
 
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use actix_web::http::{ConnectionType, StatusCode};
@@ -21,8 +22,11 @@
     shared: web::Data<Shared>,
     body: Result<web::Bytes, actix_web::Error>,
 ) -> HttpResponse {
-    let mut answer = respond(&shared, body);
+    let mut answer = respond(&shared, body, &Instant::now);
     let stays = answer.status() == StatusCode::OK;
+    if !stays {
+        shared.knocks.fetch_add(1, Ordering::Relaxed);
+    }
     if !stays || shared.open() > shared.sockets.reports_close {
         let head = answer.head_mut();
         head.set_connection_type(ConnectionType::Close);
@@ -30,12 +34,17 @@
     answer
 }
 
-fn respond(shared: &Shared, body: Result<web::Bytes, actix_web::Error>) -> HttpResponse {
+/// The answer to a report. `clock` is read again right before the answer is given: the process
+/// may have stood still since the first look, and its lead or its time as a caretaker be over.
+pub fn respond(
+    shared: &Shared,
+    body: Result<web::Bytes, actix_web::Error>,
+    clock: &dyn Fn() -> Instant,
+) -> HttpResponse {
     let Ok(body) = body else {
         return problem(StatusCode::BAD_REQUEST, "body too large or cut off");
     };
-    let now = Instant::now();
-    let standing = shared.role.lock().standing(now);
+    let standing = shared.role.lock().standing(clock());
     let term = match standing {
         Standing::Lead(lead) => lead.term,
         Standing::Caretake(term) => term,
@@ -51,7 +60,7 @@
         Ok(report) => report,
         Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
     };
-    match take(shared, &report, term, now) {
+    match take(shared, &report, term, clock) {
         Some((token, orders, wake)) => {
             if wake {
                 shared.wake_round.notify_one();
@@ -68,20 +77,25 @@
     shared: &Shared,
     report: &Report,
     term: Term,
-    now: Instant,
+    clock: &dyn Fn() -> Instant,
 ) -> Option<(Token, Vec<Order>, bool)> {
     let id = MachineId(report.machine.as_str().into());
     let mut guard = shared.cluster.lock();
     let cluster = guard.as_mut().filter(|cluster| cluster.term == term)?;
-    let verified = cluster.report(report, Way::Own, now);
+    let verified = cluster.report(report, Way::Own, clock());
     if verified == Verified::Deposed {
         return None;
     }
+    // Looked at under the lock and at the last moment: a lead that has just ended must not send
+    // starts, and a caretaker whose time is over must not renew leases.
+    let now = clock();
+    let leads = match shared.role.lock().standing(now) {
+        Standing::Lead(lead) if lead.term == term => true,
+        Standing::Caretake(own) if own == term => false,
+        _ => return None,
+    };
     let token = cluster.touch(&id, now);
-    // Looked at under the lock: a lead that has just ended must not send starts.
-    let leads = shared.role.lock().leading(Instant::now());
-    let may_order = leads.is_some_and(|lead| lead.term == term) && verified == Verified::Newer;
-    let orders = if may_order {
+    let orders = if leads && verified == Verified::Newer {
         cluster.answer(&id, now)
     } else {
         Vec::new()
--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -143,6 +143,13 @@
         }
     }
 
+    /// The doubt could not have been ended for so long.
+    pub fn wait(&mut self, missed: Duration) {
+        if let Some((_, since)) = &mut self.doubt {
+            *since += missed;
+        }
+    }
+
     /// Whether it has been in doubt for longer than `limit`.
     pub fn deaf(&self, now: Instant, limit: Duration) -> bool {
         self.doubt
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -39,6 +39,13 @@
 const QUIET_REPORTS: f64 = 2.5;
 /// Reports missed before a machine is given up and returned.
 const LOST_REPORTS: f64 = 3.0;
+/// The longest interval between two reports, in parts of the usual one.
+const LATE_REPORT: f64 = 1.25;
+/// A worker waits that long for an answer before it turns to another node, by the protocol.
+const WORKER_GIVES_UP: Duration = Duration::from_secs(4);
+/// Part of the machines below which hardly any is heard.
+const FEW_PART: f64 = 0.25;
+
 /// The workers' timing as durations.
 #[derive(Clone, Debug)]
 pub struct Timing {
@@ -389,6 +396,38 @@
             .retain(|(at, _)| recent.is_none_or(|recent| *at >= recent));
     }
 
+    /// Goes on after a time in which we took no reports: nobody was silent towards us then.
+    /// When a worker's lease ends is another matter, since it counts from our last answer.
+    pub fn resume(&mut self, missed: Duration, now: Instant) {
+        let later = |at: Instant| (at + missed).min(now);
+        self.since = later(self.since);
+        for machine in self.machines.values_mut() {
+            machine.reported = machine.reported.map(later);
+            machine.met = machine.met.map(later);
+            machine.listed_since = later(machine.listed_since);
+            machine.hearing.wait(missed);
+            machine.in_vain = 0;
+        }
+    }
+
+    /// Whether hardly any machine is heard any more, although some were or should have been:
+    /// either all of them are lost, or we are cut off from them.
+    pub fn hears_few(&self, now: Instant) -> bool {
+        // An interval and a quarter, an answer given up and another node tried first.
+        let limit = self.timing.report.mul_f64(LATE_REPORT) + WORKER_GIVES_UP;
+        if now.saturating_duration_since(self.since) < limit {
+            return false;
+        }
+        let (mut known, mut heard) = (0, 0);
+        for (id, machine) in &self.machines {
+            if machine.reported.is_some() || self.unsettled.contains(id) {
+                known += 1;
+                heard += usize::from(machine.reported.is_some() && !machine.silent(now, limit));
+            }
+        }
+        known > 0 && (heard as f64) < f64::from(known) * FEW_PART
+    }
+
     /// Number of completed and of running tasks of one job, for display.
     pub fn count(&self, id: &JobId) -> (u32, u32) {
         let Some(job) = self.jobs.get(id) else {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -18,6 +18,9 @@
 /// Taken off our side of the lease: drift of the clocks and the time between looking at the
 /// clock and acting.
 const MARGIN: Duration = Duration::from_millis(150);
+/// How long a node that gave up its lead lets the others go first. Should none of them be able
+/// to lead, this is what it costs.
+const STAND_BACK: Duration = Duration::from_secs(5);
 /// Kept free of a cancellation's time when we answer reports without leading.
 const CARETAKE_MARGIN: Duration = Duration::from_secs(2);
 
@@ -62,6 +65,8 @@
     known: Option<LeaderRecord>,
     /// Newest leader that told us of itself.
     heard: Option<(Term, String)>,
+    /// Gave up a lead that was of no use, and leaves it to others until then.
+    stands_back_until: Option<Instant>,
 }
 
 impl Role {
@@ -79,6 +84,7 @@
             lead: None,
             known: None,
             heard: None,
+            stands_back_until: None,
         }
     }
 
@@ -122,6 +128,16 @@
         self.lead = Some(lead);
     }
 
+    /// Leaves the lead to others for a while; they go first as long as there are any.
+    pub fn stand_back(&mut self, now: Instant) {
+        self.stands_back_until = Some(now + STAND_BACK);
+    }
+
+    /// Whether it is left to others.
+    pub fn stands_back(&self, now: Instant) -> bool {
+        self.stands_back_until.is_some_and(|until| now < until)
+    }
+
     /// Gives the lead up, for good as far as this term goes.
     pub fn drop_lead(&mut self) {
         self.lead = None;
@@ -173,6 +189,7 @@
             lead: None,
             known: None,
             heard: None,
+            stands_back_until: None,
         };
         role.take(Lead {
             term: Term(4),
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -2,6 +2,7 @@
 //! [`crate::api::admin`] on the same address.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use actix_web::{web, HttpResponse};
@@ -9,6 +10,7 @@
 
 use crate::model::{JobId, MachineId, Term};
 use crate::service::Shared;
+use crate::store::actor::{WATCH_GRACE, WATCH_HOLD};
 
 /// Path of the digest.
 pub const DIGEST: &str = "/peer/digest";
@@ -132,13 +134,25 @@
 
 /// Tells a peer that lost the state service whether this node has it.
 pub async fn pulse(shared: web::Data<Shared>) -> HttpResponse {
-    if shared.contact.lock().failing_since.is_none() {
+    // After standing still, no failure is known yet and no contact either.
+    let contact = *shared.contact.lock();
+    let recent = contact
+        .answered
+        .is_some_and(|at| at.elapsed() < WATCH_HOLD * 2 + WATCH_GRACE);
+    if contact.failing_since.is_none() && recent {
         HttpResponse::NoContent().finish()
     } else {
         HttpResponse::ServiceUnavailable().finish()
     }
 }
 
+/// What a node answers to a digest. Nodes of 0.2.0 answer without a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Reports of workers that this node has sent elsewhere since it started.
+    pub knocks: u64,
+}
+
 /// Takes a leader's digest.
 pub async fn digest(shared: web::Data<Shared>, body: web::Bytes) -> HttpResponse {
     let Some(digest) = decode::<Digest>(&body) else {
@@ -150,11 +164,14 @@
     }
     shared.role.lock().hears(digest.term, &digest.member);
     *shared.peer_contact.lock() = Some(Instant::now());
-    if shared.told.lock().take(digest) {
-        HttpResponse::NoContent().finish()
+    let knocks = shared.knocks.load(Ordering::Relaxed);
+    let heard = encode(&Heard { knocks }).unwrap_or_default();
+    let mut answer = if shared.told.lock().take(digest) {
+        HttpResponse::Ok()
     } else {
-        HttpResponse::Conflict().finish()
-    }
+        HttpResponse::Conflict()
+    };
+    answer.content_type(BINCODE).body(heard)
 }
 
 /// The routes between nodes.
--- a/src/service.rs
+++ b/src/service.rs
@@ -3,7 +3,9 @@
 //! Locks are taken in the order replica, role, cluster, the rest; they are never held across
 //! an await, and nothing is sent, written or encoded under them.
 
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -100,6 +102,38 @@
     }
 }
 
+/// Workers that knock at other nodes while we lead: they are up and don't get through to us.
+#[derive(Debug, Default)]
+pub struct Astray {
+    counts: HashMap<SocketAddrV4, u64>,
+    last: Option<Instant>,
+}
+
+/// Knocks at one node between two digests that are no chance: a worker that has just come up
+/// asks any node once.
+const MANY_KNOCKS: u64 = 5;
+/// How long such knocks are remembered: workers that wait for our answer in vain knock again
+/// after that and a second.
+const KNOCKS_KEPT: Duration = Duration::from_secs(6);
+
+impl Astray {
+    /// A node says how many workers it has sent elsewhere so far.
+    pub fn knocked(&mut self, node: SocketAddrV4, knocks: u64, now: Instant) {
+        let before = self.counts.insert(node, knocks);
+        // A lower count comes from a new life of the node.
+        let more = before.map_or(0, |before| knocks.saturating_sub(before));
+        if more >= MANY_KNOCKS {
+            self.last = Some(now);
+        }
+    }
+
+    /// Whether many have knocked lately.
+    pub fn lately(&self, now: Instant) -> bool {
+        self.last
+            .is_some_and(|at| now.saturating_duration_since(at) < KNOCKS_KEPT)
+    }
+}
+
 /// Operators' settings, kept in the state service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -204,6 +238,10 @@
     pub operator: Shelf<OperatorSettings>,
     /// Connections open on the public address.
     pub connections: Arc<AtomicUsize>,
+    /// Reports of workers that we have sent elsewhere.
+    pub knocks: AtomicU64,
+    /// Workers that knock elsewhere while we lead.
+    pub astray: Shelf<Astray>,
     /// Figures.
     pub metrics: Shelf<Metrics>,
     /// Wakes the round.
@@ -232,6 +270,8 @@
             peer_contact: Shelf::default(),
             operator: Shelf::default(),
             connections: Arc::default(),
+            knocks: AtomicU64::default(),
+            astray: Shelf::default(),
             metrics: Shelf::default(),
             wake_round: Notify::new(),
             wake_leader: Notify::new(),
@@ -359,4 +399,24 @@
             "a filter between the nodes proves nothing"
         );
     }
+
+    /// Workers that come up ask any node once; those that come again and again don't get
+    /// through to the leader.
+    #[test]
+    fn many_knocks_at_one_node_are_remembered_for_a_while_and_a_restart_of_it_is_none() {
+        let start = Instant::now();
+        let at = |s: u64| start + Duration::from_secs(s);
+        let node = |n: u8| SocketAddrV4::new([10, 0, 0, n].into(), 8081);
+        let mut astray = Astray::default();
+        astray.knocked(node(1), 900, at(0));
+        assert!(!astray.lately(at(0)), "no count before to compare with");
+        astray.knocked(node(1), 902, at(1));
+        astray.knocked(node(2), 3, at(1));
+        assert!(!astray.lately(at(1)), "a few");
+        astray.knocked(node(2), 0, at(2));
+        assert!(!astray.lately(at(2)), "a new life counts from zero");
+        astray.knocked(node(1), 902 + MANY_KNOCKS, at(3));
+        assert!(astray.lately(at(4)));
+        assert!(!astray.lately(at(3) + KNOCKS_KEPT));
+    }
 }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -532,3 +532,69 @@
     assert!(run(&["--help"]).status.success());
     assert!(run(&["--version"]).status.success());
 }
+
+/// The process may stand still anywhere, with its clocks running on: whether it may answer, and
+/// with what, is judged on the clock as it is when the answer is given.
+#[test]
+fn a_report_is_answered_by_what_holds_after_a_pause_and_not_by_what_held_before() {
+    use knotlanding::api::workers::respond;
+    use knotlanding::leader::{Lead, OwnLease, LEASE};
+    use knotlanding::model::Term;
+    let text = common::settings_text(
+        "knot-0",
+        "127.0.0.1:1",
+        "127.0.0.1:2",
+        "127.0.0.1:3",
+        "127.0.0.1:4",
+    );
+    let settings = Settings::parse(&text, "a test").unwrap();
+    let shared = knotlanding::service::Shared::new(settings);
+    let start = Instant::now();
+    let term = Term(1);
+    let cluster = knotlanding::cluster::Cluster::take_over(
+        term,
+        &shared.settings,
+        &shared.replica.lock(),
+        Default::default(),
+        start,
+        std::time::SystemTime::now(),
+    );
+    *shared.cluster.lock() = Some(cluster);
+    {
+        let mut role = shared.role.lock();
+        role.lease = Some(OwnLease {
+            id: 7,
+            renewed: start,
+        });
+        role.take(Lead { term, version: 1 });
+    }
+    // The first look at the clock comes at once, all others after the pause.
+    let answered = |pause: Duration| {
+        let looks = std::cell::Cell::new(0);
+        let clock = || {
+            looks.set(looks.get() + 1);
+            start
+                + if looks.get() == 1 {
+                    Duration::ZERO
+                } else {
+                    pause
+                }
+        };
+        let report = cbor!({
+            "host" => "m-000001", "address" => "127.0.0.1:9", "build" => "g8", "yard" => "north",
+            "loaners" => false, "tenure" => 1, "tally" => 1, "baton" => 0, "strands" => [],
+        });
+        let body = encode(&report.unwrap()).into();
+        let answer = respond(&shared, Ok(body), &clock);
+        assert!(looks.get() > 1, "the clock is looked at again");
+        answer.status().as_u16()
+    };
+    assert_eq!(answered(Duration::ZERO), 200);
+    assert_eq!(answered(LEASE), 200, "a caretaker's answer");
+    let long = Duration::from_secs(60);
+    assert_eq!(answered(long), 503, "its time is over");
+    let cluster = shared.cluster.lock();
+    let machine = cluster.as_ref().unwrap().machines.values().next().unwrap();
+    let last = machine.answered.unwrap();
+    assert_eq!(last, start + LEASE, "no lease was renewed by the last one");
+}
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -573,3 +573,51 @@
     s.fleet(&decisions);
     insta::assert_snapshot!(s.log);
 }
+
+/// A leader that the workers can't reach keeps its lease and loses theirs: it has to see that
+/// it hears hardly anybody. A part of the machines, or the first moments, are no sign of it.
+#[test]
+fn a_leader_sees_that_it_hears_hardly_any_machine() {
+    let mut s = Scene::new();
+    let names = ["m-g1n", "m-g2n", "m-g3n", "m-g4n", "m-c1s"];
+    s.machines(&names);
+    assert!(!s.cluster.hears_few(s.now), "just heard");
+    s.pass(30.0);
+    s.report("m-g1n", &[]);
+    s.report("m-g2n", &[]);
+    assert!(!s.cluster.hears_few(s.now), "some are heard");
+    s.pass(30.0);
+    assert!(s.cluster.hears_few(s.now));
+    s.take_over(2);
+    assert!(!s.cluster.hears_few(s.now), "nobody can have reported yet");
+}
+
+/// What was not heard while we stood still, or while the state service was out and we sent
+/// reports away, says nothing of the machines: none is returned for it. That leases ran out
+/// meanwhile, counted from our last answer, still holds.
+#[test]
+fn waking_up_is_no_proof_that_machines_were_silent() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2n", "m-g3n"]);
+    s.submit(array("wk-000001", 1));
+    s.round();
+    s.report("m-g1n", &[]);
+    s.report("m-g1n", &[("wk-000001/0", FIRST, RUNNING, None)]);
+    s.note("the leader stands still for 15 s");
+    s.pass(15.0);
+    s.cluster.resume(std::time::Duration::from_secs(15), s.now);
+    s.report("m-g2n", &[]);
+    s.report("m-g3n", &[]);
+    let decisions = s.round();
+    s.fleet(&decisions);
+    assert!(s.cluster.jobs.values().all(|job| job.placed()));
+    s.note("and for longer than a lease");
+    s.pass(22.0);
+    s.cluster.resume(std::time::Duration::from_secs(22), s.now);
+    let decisions = s.round();
+    s.fleet(&decisions);
+    let machines = s.cluster.machines.values();
+    let mut slots = machines.flat_map(|machine| machine.slots.values());
+    assert!(slots.all(|slot| !slot.sent()), "what ran is gone for sure");
+    insta::assert_snapshot!(s.log);
+}
