--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -230,6 +230,7 @@
         if unheard && now.saturating_duration_since(cluster.since) < SETTLE {
             return Vec::new();
         }
+        fleet::see_cuts(cluster, now);
         let policy = &self.shared.policy;
         let actions = fleet::plan(&Look {
             cluster,
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -119,6 +119,9 @@
     /// day's mood amount to.
     paces: VecDeque<f64>,
     departed: BTreeSet<MachineId>,
+    /// When a zone last counted as cut off, and under no name when hardly half of all machines
+    /// was heard.
+    cuts: BTreeMap<String, Instant>,
     attempts: u32,
     chunk: usize,
     /// Versions of the chunks and shards we wrote, which the replica may not show yet.
@@ -155,6 +158,7 @@
             hints: HashMap::new(),
             paces: VecDeque::new(),
             departed: BTreeSet::new(),
+            cuts: BTreeMap::new(),
             attempts: 0,
             versions: HashMap::new(),
             chunk: done::chunk_size(settings.params.state.value_kb),
@@ -410,6 +414,17 @@
         }
     }
 
+    /// Remembers that a zone counts as cut off, or all machines if there is no name.
+    pub fn note_cut(&mut self, zone: &str, now: Instant) {
+        self.cuts.insert(zone.to_owned(), now);
+    }
+
+    /// Whether a zone counted as cut off within `limit`.
+    pub fn cut_lately(&self, zone: &str, now: Instant, limit: Duration) -> bool {
+        let at = self.cuts.get(zone);
+        at.is_some_and(|at| now.saturating_duration_since(*at) < limit)
+    }
+
     /// Whether hardly any machine is heard any more, although some were or should have been:
     /// either all of them are lost, or we are cut off from them.
     pub fn hears_few(&self, now: Instant) -> bool {
--- a/src/fleet/lost.rs
+++ b/src/fleet/lost.rs
@@ -16,6 +16,8 @@
 /// some time on the way.
 const VAIN_QUESTIONS: u32 = 2;
 const LATEST_REPORT: f64 = 2.0;
+/// The name under which it is remembered that hardly half of all machines was heard.
+const EVERYWHERE: &str = "";
 /// A boot of this many times its nominal time is given up.
 const HOPELESS_BOOT: f64 = 4.0;
 /// A machine listed as running for that long without a report is given up.
@@ -47,30 +49,59 @@
         .collect()
 }
 
-/// Machines to be given up whatever the demand.
-pub(super) fn machines(cluster: &Cluster, now: Instant) -> Vec<(MachineId, &'static str)> {
+/// How long a machine that reports at all may take to do so: its interval and a quarter, finding
+/// the new leader, and some time on the way.
+fn latest(cluster: &Cluster) -> Duration {
+    cluster.timing.report.mul_f64(LATEST_REPORT)
+}
+
+/// Sees which zones are cut off, and whether hardly half of all machines is heard, and remembers
+/// it: when a cut is over, half of a zone's machines report before the other half, which must
+/// not be given up for its silence until then.
+pub fn see_cuts(cluster: &mut Cluster, now: Instant) {
     let timing = &cluster.timing;
     let since_take_over = now.saturating_duration_since(cluster.since);
-    let waited_for = |machine: &Machine| cluster.unsettled.contains(&machine.id);
+    // What others wait for is judged before it may be given up: else a new leader would give up
+    // a zone that is cut off machine by machine before it sees that the zone is.
+    let late = latest(cluster);
     let is_mute = |machine: &Machine| {
+        let vain = machine.in_vain >= VAIN_QUESTIONS && since_take_over > late / 2;
         mute(machine, now, timing.quiet)
-            || (machine.reported.is_none() && since_take_over > timing.quiet)
+            || (machine.reported.is_none() && (vain || since_take_over > late.min(timing.quiet)))
     };
     let known = || {
         let machines = cluster.machines.values();
-        machines.filter(|machine| machine.reported.is_some() || waited_for(machine))
+        let known = machines.filter(|machine| {
+            machine.reported.is_some() || cluster.unsettled.contains(&machine.id)
+        });
+        known.map(|machine| (machine, is_mute(machine)))
     };
-    let (all, heard) = known().fold((0, 0), |(all, heard), machine| {
-        (all + 1, heard + usize::from(!is_mute(machine)))
+    let (all, heard) = known().fold((0, 0), |(all, heard), (_, mute)| {
+        (all + 1, heard + usize::from(!mute))
     });
     let we_hear = all > 0 && heard as f64 >= all as f64 * HEARD_PART;
-    let cut_off = mute_zones(known().map(|machine| (machine, is_mute(machine))));
+    let mut cut: Vec<String> = mute_zones(known()).into_iter().map(str::to_owned).collect();
+    if !we_hear {
+        cut.push(EVERYWHERE.to_owned());
+    }
+    for zone in cut {
+        cluster.note_cut(&zone, now);
+    }
+}
+
+/// Machines to be given up whatever the demand.
+pub(super) fn machines(cluster: &Cluster, now: Instant) -> Vec<(MachineId, &'static str)> {
+    let timing = &cluster.timing;
+    let since_take_over = now.saturating_duration_since(cluster.since);
+    let waited_for = |machine: &Machine| cluster.unsettled.contains(&machine.id);
+    let late = latest(cluster);
+    let we_hear = !cluster.cut_lately(EVERYWHERE, now, late);
     let mut lost = Vec::new();
     for machine in cluster.machines.values().filter(|m| !m.returning) {
         let id = machine.id.clone();
         let age = now.saturating_duration_since(machine.rented);
         let boot = build_named(cluster.catalog(), &machine.build).map(|build| build.boot);
-        let cut = cut_off.contains(machine.zone.as_str());
+        let cut = cluster.cut_lately(&machine.zone, now, late);
         let why = if machine.listed == Listed::Failed {
             Some("it failed")
         } else if machine.reported.is_some() {
@@ -95,13 +126,12 @@
             }
         } else if waited_for(machine) {
             // It may hold tasks and hasn't been heard since we took over. Two questions in vain
-            // and a report that should have come are enough where others are heard; in a zone
-            // that is cut off, its tasks live as long as its lease.
+            // and a report that should have come are enough where others are heard. In a zone
+            // that is cut off, its work goes on, and it need not boot again, as above.
             let alone = machine.in_vain >= VAIN_QUESTIONS;
-            let limit = match (we_hear, cut) {
-                (true, false) if alone => timing.report.mul_f64(LATEST_REPORT),
+            let limit = match (we_hear && !cut, alone) {
+                (true, true) => late,
                 (true, false) => timing.lost,
-                (true, true) => timing.lost.max(timing.lease),
                 (false, _) => timing.lost.max(timing.lease * 2),
             };
             (since_take_over > limit).then_some("it did not report")
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 use crate::cluster::Cluster;
 use crate::model::MachineId;
 use crate::sched::{Policy, Short};
+pub use lost::see_cuts;
 use planner::Planner;
 
 /// Most machines in one rental request, by the cloud's protocol.
--- a/tests/common/scene.rs
+++ b/tests/common/scene.rs
@@ -372,6 +372,7 @@
     }
 
     pub fn fleet(&mut self, decisions: &Decisions) {
+        fleet::see_cuts(&mut self.cluster, self.now);
         let market = Market::default();
         let thrift = Thrift::default();
         let actions = fleet::plan(&Look {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -119,11 +119,54 @@
         works(&mut s, at);
     }
     let decisions = s.round();
+    s.note("the south comes back: its last one is not given up before it can have reported");
+    s.fleet(&decisions);
+    s.pass(2.0);
+    for at in 0..5 {
+        works(&mut s, at);
+    }
+    let decisions = s.round();
     s.note("one of the south alone is silent");
     s.fleet(&decisions);
     insta::assert_snapshot!(s.log);
 }
 
+/// A leader that takes over while a zone is cut off gave up all of its machines, one by one,
+/// before it saw that the zone was: 333 machines booted again at Indus for a cut of 70 s.
+#[test]
+fn a_new_leader_sees_that_a_zone_is_cut_off_before_it_gives_its_machines_up() {
+    let names = ["m-g1n", "m-g2n", "m-g3n", "m-g4s", "m-g5s", "m-g6s"];
+    let mut s = Scene::with(vec![roster(&names)]);
+    s.listed(&names);
+    for second in 0..20 {
+        s.pass(1.0);
+        for name in &names[..3] {
+            s.report(name, &[]);
+        }
+        let decisions = s.round();
+        // Of the questions to the south none is answered.
+        for name in &names[3..] {
+            s.cluster.in_vain(&MachineId((*name).into()), s.now);
+        }
+        s.log.clear();
+        s.note(&format!("second {second}"));
+        s.fleet(&decisions);
+        for name in &names[3..] {
+            assert!(!s.log.contains(name), "{}", s.log);
+        }
+    }
+    s.pass(40.0);
+    for name in &names[..3] {
+        s.report(name, &[]);
+    }
+    let decisions = s.round();
+    s.log.clear();
+    s.fleet(&decisions);
+    for name in &names[3..] {
+        assert!(s.log.contains(name), "not for ever: {}", s.log);
+    }
+}
+
 #[test]
 fn a_raised_token_brings_the_report_that_takes_a_start_but_not_too_often() {
     let mut s = Scene::new();
