--- a/src/fleet/idle.rs
+++ b/src/fleet/idle.rs
@@ -128,7 +128,7 @@
             continue;
         };
         let asked = cluster.arrivals.iter().any(|(_, spec)| {
-            policy.prompt.contains_key(&spec.class)
+            policy.hurries(&spec.class, build.boot)
                 && spec.allows(&kind.build, &kind.zone, kind.spot)
                 && spec.need.fits(&build.room)
         });
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -128,7 +128,7 @@
     // Who has to start soon is not made to wait for others to finish.
     let (prompt, patient): (Vec<&Short>, Vec<&Short>) = short
         .iter()
-        .partition(|want| policy.prompt.contains_key(&want.spec.class));
+        .partition(|want| policy.hurries(&want.spec.class, planner.quickest_boot(&want.spec)));
     for want in prompt {
         planner.place_want(want);
     }
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -178,6 +178,16 @@
             .collect()
     }
 
+    /// The shortest boot of what a job can use.
+    pub(super) fn quickest_boot(&self, spec: &JobSpec) -> Duration {
+        let usable = self.wares.iter().filter(|ware| {
+            let offer = &ware.offer;
+            spec.allows(&offer.build, &offer.zone, offer.spot) && spec.need.fits(&ware.build.room)
+        });
+        let boots = usable.map(|ware| ware.build.boot);
+        boots.min().unwrap_or(Duration::ZERO)
+    }
+
     /// Wares that a job can use, with the tasks that fit each machine.
     fn usable(&self, spec: &JobSpec, zone: Option<&str>) -> Vec<(usize, u32)> {
         let wares = self.wares.iter().enumerate();
@@ -323,7 +333,8 @@
         let mut classes: BTreeMap<&str, (f64, &JobSpec)> = BTreeMap::new();
         for (at, spec) in &cluster.arrivals {
             let recent = self.now.saturating_duration_since(*at) <= window;
-            if recent && policy.prompt.contains_key(&spec.class) {
+            let boot = self.quickest_boot(spec);
+            if recent && policy.hurries(&spec.class, boot) {
                 let entry = classes.entry(&spec.class).or_insert((0.0, spec));
                 entry.0 += f64::from(spec.tasks);
             }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -26,6 +26,10 @@
 /// the reports that show it, for the slowest of its machines.
 const CLAIM_LASTS: Duration = Duration::from_secs(20);
 
+/// A class that may take this many boots to start can wait for one: for it to be late, for its
+/// image, and for room.
+const BOOTS_TO_SPARE: u32 = 3;
+
 /// What the scheduler needs of the settings.
 #[derive(Debug, Clone)]
 pub struct Policy {
@@ -86,6 +90,13 @@
         }
     }
 
+    /// Whether jobs of a class have to start so soon that nobody may wait for a machine to boot
+    /// first. An aim on starting that leaves time for several boots asks for no spare room.
+    pub fn hurries(&self, class: &str, boot: Duration) -> bool {
+        let within = self.prompt.get(class);
+        within.is_some_and(|within| *within < boot * BOOTS_TO_SPARE)
+    }
+
     /// Whether the team may use `sum` at once.
     pub fn within_limit(&self, team: &str, sum: &Amount) -> bool {
         self.teams.get(team).is_some_and(|t| {
@@ -453,3 +464,21 @@
     }
     zones
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// An aim on starting within several boots made machines stand idle for a class that can
+    /// wait for one: 8% of a day's cost at Brackenridge.
+    #[test]
+    fn only_aims_within_a_few_boots_ask_for_room_that_is_there_before_it_is_asked_for() {
+        let text = include_str!("../../deploy/example.toml");
+        let policy = Policy::new(&Settings::parse(text, "a test").unwrap());
+        let within = policy.prompt["prompt"];
+        assert!(policy.hurries("prompt", within));
+        assert!(policy.hurries("prompt", within / 2));
+        assert!(!policy.hurries("prompt", within / BOOTS_TO_SPARE));
+        assert!(!policy.hurries("another", within));
+    }
+}
