--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -145,7 +145,14 @@
             let starts: usize = decisions.starts.iter().map(|s| s.members.len()).sum();
             let stops = decisions.halts.len() + decisions.gang_stops.len();
             if starts + stops > 0 {
-                info!(starts, stops, short = decisions.short.len(), "round");
+                let unsettled = cluster.unsettled.len();
+                info!(
+                    starts,
+                    stops,
+                    short = decisions.short.len(),
+                    unsettled,
+                    "round"
+                );
                 let mut metrics = self.shared.metrics.lock();
                 metrics.starts += starts as u64;
                 metrics.stops += stops as u64;
--- a/src/cluster/commands.rs
+++ b/src/cluster/commands.rs
@@ -68,18 +68,19 @@
         let again = |at: Option<Instant>| {
             at.is_none_or(|at| now.saturating_duration_since(at) >= ASK_AGAIN)
         };
-        for id in &self.unsettled {
-            let Some(machine) = self.machines.get_mut(id) else {
-                continue;
-            };
-            if all.len() == MOST_QUESTIONS {
-                break;
-            }
-            if machine.fenced || machine.address.is_empty() || !again(machine.asked) {
-                continue;
+        // Who was never asked comes first, then who was asked longest ago: those that don't answer
+        // must not take the turn of those that would.
+        let unsettled = self.unsettled.iter().filter_map(|id| self.machines.get(id));
+        let due = unsettled.filter(|m| !m.fenced && !m.address.is_empty() && again(m.asked));
+        let mut due: Vec<(Option<Instant>, MachineId)> = due
+            .map(|machine| (machine.asked, machine.id.clone()))
+            .collect();
+        due.sort();
+        for (_, id) in due.into_iter().take(MOST_QUESTIONS) {
+            if let Some(machine) = self.machines.get_mut(&id) {
+                machine.asked = Some(now);
+                all.push(question(machine, machine.newest.0, first));
             }
-            machine.asked = Some(now);
-            all.push(question(machine, machine.newest.0, first));
         }
         for machine in self.machines.values_mut() {
             if !machine.hearing.fine() && again(machine.asked) && !machine.address.is_empty() {
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -172,12 +172,7 @@
         }
         if fenced {
             self.settle(&id, newest, (own, now), &listed);
-            if self.unsettled.remove(&id) {
-                self.dirty = true;
-                if self.unsettled.is_empty() {
-                    info!(term = self.term.0, "all machines settled");
-                }
-            }
+            self.settled(&id);
         }
         if let Some(machine) = self.machines.get_mut(&id) {
             if was_busy && !machine.busy() {
@@ -188,6 +183,17 @@
         Verified::Newer
     }
 
+    /// The machine is not waited for any longer.
+    pub(super) fn settled(&mut self, id: &MachineId) {
+        if !self.unsettled.remove(id) {
+            return;
+        }
+        self.dirty = true;
+        if self.unsettled.is_empty() {
+            info!(term = self.term.0, "all machines settled");
+        }
+    }
+
     /// The machine runs a new life: whatever was on it went with the old one, and answers to
     /// the old one's reports can't reach it.
     fn reborn(&mut self, id: &MachineId) {
--- a/src/cluster/sync.rs
+++ b/src/cluster/sync.rs
@@ -121,7 +121,7 @@
                 self.leave(id, slot);
             }
         }
-        self.unsettled.remove(id);
+        self.settled(id);
         self.changed.machines.insert(id.clone());
         self.roster.remove(id);
         // Reports of it may still be on their way; they must not bring it back.
--- a/src/fleet/lost.rs
+++ b/src/fleet/lost.rs
@@ -16,8 +16,9 @@
 /// some time on the way.
 const VAIN_QUESTIONS: u32 = 2;
 const LATEST_REPORT: f64 = 2.0;
-/// The name under which it is remembered that hardly half of all machines was heard.
-const EVERYWHERE: &str = "";
+/// The name under which it is remembered that hardly half of all machines was heard; no zone's,
+/// since those have no spaces.
+const EVERYWHERE: &str = "every zone";
 /// A boot of this many times its nominal time is given up.
 const HOPELESS_BOOT: f64 = 4.0;
 /// A machine listed as running for that long without a report is given up.
@@ -37,7 +38,9 @@
 /// Zones most of whose machines are mute at once: more likely cut off than dead.
 fn mute_zones<'a>(machines: impl Iterator<Item = (&'a Machine, bool)>) -> HashSet<&'a str> {
     let mut zones: HashMap<&str, (usize, usize)> = HashMap::new();
-    for (machine, mute) in machines {
+    // A machine of which only the roster speaks has no zone that could be cut off. It is most
+    // likely gone, and must not be kept for others like it: it holds up what may run on it.
+    for (machine, mute) in machines.filter(|(machine, _)| !machine.zone.is_empty()) {
         let (all, lost) = zones.entry(machine.zone.as_str()).or_default();
         *all += 1;
         *lost += usize::from(mute);
@@ -128,7 +131,7 @@
             // It may hold tasks and hasn't been heard since we took over. Two questions in vain
             // and a report that should have come are enough where others are heard. In a zone
             // that is cut off, its work goes on, and it need not boot again, as above.
-            let alone = machine.in_vain >= VAIN_QUESTIONS;
+            let alone = machine.in_vain >= VAIN_QUESTIONS || machine.zone.is_empty();
             let limit = match (we_hear && !cut, alone) {
                 (true, true) => late,
                 (true, false) => timing.lost,
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -664,3 +664,30 @@
     assert!(slots.all(|slot| !slot.sent()), "what ran is gone for sure");
     insta::assert_snapshot!(s.log);
 }
+
+/// Machines that were gone before a new leader could learn where they were counted as a zone of
+/// their own, and a cut one: every array that may run anywhere waited for a lease and more.
+#[test]
+fn machines_that_only_the_roster_knows_are_not_taken_for_a_zone_that_is_cut_off() {
+    let names = ["m-g1n", "m-g2n", "m-g3n", "m-g4n"];
+    let gone = ["m-x1n", "m-x2n", "m-x3n"];
+    let all: Vec<&str> = names.iter().chain(&gone).copied().collect();
+    let mut records = accepted(&array("wk-000001", 2), true);
+    records.push(roster(&all));
+    let mut s = Scene::with(records);
+    s.listed(&names);
+    for _ in 0..2 {
+        s.pass(1.0);
+        for name in &names {
+            s.report(name, &[]);
+        }
+        s.round();
+    }
+    assert_eq!(s.cluster.unsettled.len(), gone.len());
+    let decisions = s.round();
+    s.log.clear();
+    s.fleet(&decisions);
+    for name in &gone {
+        assert!(s.log.contains(name), "it is given up: {}", s.log);
+    }
+}
