Records are read within the limits page by page; final verdicts at hand are bounded

From the code, for size: a start or a watch too old read all pages in a burst that no limiter saw; and verdicts, kept for ever by the state service, were kept for ever by each process as well, about 160 bytes each. Now each page takes its place in rps; a process keeps final verdicts for 15% of mem_mb and asks for older ones, which a check by condition finds.

--- a/src/service.rs
+++ b/src/service.rs
@@ -253,6 +253,16 @@
 /// A node whose contact is older than this while another node's is not can take no requests.
 const CONTACT_LOST: Duration = Duration::from_secs(4);
 
+/// Bytes that a final verdict takes with its key, in a table that has just grown.
+const VERDICT_BYTES: f64 = 160.0;
+/// Part of the memory for them.
+const VERDICTS_PART: f64 = 0.15;
+
+/// Final verdicts that a process with so much memory keeps at hand.
+fn most_verdicts(mem_mb: f64) -> usize {
+    (mem_mb * 1024.0 * 1024.0 * VERDICTS_PART / VERDICT_BYTES).max(1.0) as usize
+}
+
 impl Shared {
     /// The state of a process that has just started.
     pub fn new(settings: Settings) -> Arc<Self> {
@@ -260,7 +270,9 @@
             sockets: Sockets::of(&settings),
             policy: Policy::new(&settings),
             role: Shelf::new(Role::new(&settings)),
-            replica: Shelf::default(),
+            replica: Shelf::new(Replica::keeping(most_verdicts(
+                settings.params.resources.mem_mb,
+            ))),
             revision: watch::Sender::new(0),
             cluster: Shelf::default(),
             catalog: Shelf::default(),
--- a/src/store/actor.rs
+++ b/src/store/actor.rs
@@ -363,10 +363,11 @@
     // check; until then it must not be repeated to anybody.
     let caught_up = reach(&inner.shared, revision).await;
     for (id, replies) in stale {
-        let answer = if caught_up {
-            Ok(current(&id))
-        } else {
-            Err(StoreError::Unknown)
+        let answer = match (caught_up, current(&id)) {
+            (true, Some(record)) => Ok(Some(record)),
+            // The check found the key; the replica has let it go, or has none of it yet.
+            (true, None) => read_verdict(inner, &id).await,
+            (false, _) => Err(StoreError::Unknown),
         };
         for reply in replies {
             let _ = reply.send(answer.clone());
@@ -374,6 +375,21 @@
     }
 }
 
+/// Asks for one verdict.
+async fn read_verdict(inner: &Inner, id: &JobId) -> CheckAnswer {
+    pace(inner, 1.0, 0.0).await;
+    let sent = Instant::now();
+    let read = inner.client.get(&keys::job(id)).await;
+    note(inner, sent, read.is_ok());
+    let Some(row) = read? else {
+        return Ok(None);
+    };
+    let record: Option<keys::JobRecord> = super::from_value(&row.value);
+    // A record of no form we know is no sign that there is no such job.
+    let record = record.ok_or_else(|| StoreError::Nonsense("a job's record".to_owned()))?;
+    Ok(Some((record.verdict, record.tasks)))
+}
+
 /// Waits until the replica has reached a revision.
 async fn reach(shared: &Shared, revision: u64) -> bool {
     let mut changed = shared.revision.subscribe();
@@ -412,8 +428,29 @@
     }
 }
 
+/// All our keys, and the revision from which a watch has to go on. Every page takes its place
+/// in the limits: all controllers may start at once, each with hundreds of jobs to read.
+async fn read_all(inner: &Inner) -> Result<(Vec<super::Row>, u64), StoreError> {
+    let mut rows: Vec<super::Row> = Vec::new();
+    let mut revision = None;
+    loop {
+        let after = rows.last().map(|row| row.key.clone());
+        if after.is_some() {
+            pace(inner, 1.0, 0.0).await;
+        }
+        let page = inner.client.page(keys::ROOT, after.as_deref()).await?;
+        // The first page's revision: the watch then brings again what changed meanwhile.
+        let first = *revision.get_or_insert(page.revision);
+        let last = page.rows.is_empty() || !page.more;
+        rows.extend(page.rows);
+        if last {
+            return Ok((rows, first));
+        }
+    }
+}
+
 async fn load(inner: &Inner) -> Result<(), StoreError> {
-    let (rows, revision) = inner.client.list(keys::ROOT).await?;
+    let (rows, revision) = read_all(inner).await?;
     info!(keys = rows.len(), revision, "records read");
     let news = inner.shared.replica.lock().load(rows, revision);
     inner.shared.revision.send_replace(revision);
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -119,30 +119,28 @@
         }
     }
 
-    /// All keys below a prefix and the revision from which a watch has to go on.
-    pub async fn list(&self, prefix: &str) -> Result<(Vec<super::Row>, u64), StoreError> {
-        let mut rows = Vec::new();
-        let mut first_revision = None;
-        let mut after = String::new();
-        loop {
-            let mut path = format!("/keys?under={prefix}&limit={PAGE}");
-            if !after.is_empty() {
-                path.push_str("&after=");
-                path.push_str(&after);
-            }
-            let (status, body) = self.call(Method::GET, &path, None, ANSWER_LIMIT).await?;
-            if status != 200 {
-                return Err(Self::refusal(status, &body));
-            }
-            let page: Page = Self::read(&body)?;
-            // The oldest page's revision: the watch then brings again what changed meanwhile.
-            let revision = *first_revision.get_or_insert(page.revision);
-            let last = page.rows.last().map(|row| row.key.clone());
-            rows.extend(page.rows);
-            match last {
-                Some(last) if page.more => after = last,
-                _ => return Ok((rows, revision)),
-            }
+    /// One key's value and version, if there is one.
+    pub async fn get(&self, key: &str) -> Result<Option<super::Row>, StoreError> {
+        let path = format!("/keys/{key}");
+        match self.call(Method::GET, &path, None, ANSWER_LIMIT).await? {
+            (200, body) => Self::read(&body).map(Some),
+            (404, _) => Ok(None),
+            (status, body) => Err(Self::refusal(status, &body)),
+        }
+    }
+
+    /// The keys below a prefix that come after one, as many as a page holds.
+    pub async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
+        let mut path = format!("/keys?under={prefix}&limit={PAGE}");
+        if let Some(after) = after {
+            path.push_str("&after=");
+            path.push_str(after);
+        }
+        let (status, body) = self.call(Method::GET, &path, None, ANSWER_LIMIT).await?;
+        if status == 200 {
+            Self::read(&body)
+        } else {
+            Err(Self::refusal(status, &body))
         }
     }
 
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -1,6 +1,6 @@
 //! What this node knows of our records: everything up to one revision, from the watch.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use super::keys::{self, DoneRecord, JobRecord, Key, LeaderRecord, LiveRecord, RosterRecord};
 use super::{from_value, Event, Row, Value};
@@ -28,8 +28,14 @@
     pub term: Versioned<Term>,
     /// Operators' settings as they stand, and the version of their key.
     pub settings: Versioned<Option<Value>>,
-    /// Verdicts.
+    /// Verdicts: all that may still change, and the latest final ones. Of others the state service
+    /// has to be asked.
     pub jobs: HashMap<JobId, Versioned<(Verdict, u32)>>,
+    /// The final ones, oldest first.
+    over: VecDeque<JobId>,
+    /// Final verdicts kept at most; 0: all. They are kept for ever by the state service, and a
+    /// small machine that runs for weeks must not be ended for them.
+    most_over: usize,
     /// Descriptions.
     pub live: BTreeMap<JobId, Versioned<LiveRecord>>,
     /// Completed tasks.
@@ -59,14 +65,26 @@
 }
 
 impl Replica {
+    /// An empty one that keeps so many final verdicts at most.
+    pub fn keeping(most_over: usize) -> Self {
+        Self {
+            most_over,
+            ..Self::default()
+        }
+    }
+
     /// Starts over from a full reading.
     pub fn load(&mut self, rows: Vec<Row>, revision: u64) -> Vec<News> {
         let mut before: Vec<JobId> = self.jobs.keys().cloned().collect();
+        let most_over = self.most_over;
         *self = Replica::default();
         let mut news = vec![News::Leader, News::Settings];
         for row in rows {
             self.put(&row.key, &row.value, row.version);
         }
+        // Only now is it known of which jobs there is more than a verdict.
+        self.most_over = most_over;
+        self.trim();
         before.extend(self.jobs.keys().cloned());
         before.sort();
         before.dedup();
@@ -118,6 +136,10 @@
                 if self.jobs.get(&id).is_none_or(|old| old.version < version) {
                     let record = (read.verdict, read.tasks);
                     self.jobs.insert(id.clone(), Versioned { version, record });
+                    if read.verdict != Verdict::Accepted {
+                        self.over.push_back(id.clone());
+                        self.trim();
+                    }
                 }
                 Some(News::Job(id))
             }
@@ -166,6 +188,24 @@
         }
     }
 
+    /// Lets the oldest final verdicts go, beyond the bound, of which nothing is under way.
+    fn trim(&mut self) {
+        if self.most_over == 0 {
+            return;
+        }
+        for _ in self.most_over..self.over.len() {
+            let Some(oldest) = self.over.pop_front() else {
+                return;
+            };
+            if self.live.contains_key(&oldest) {
+                // Its tasks may be somewhere still; the leader needs its verdict.
+                self.over.push_back(oldest);
+            } else {
+                self.jobs.remove(&oldest);
+            }
+        }
+    }
+
     /// The version of a job's verdict; 0: there is none.
     pub fn job_version(&self, id: &JobId) -> u64 {
         self.jobs.get(id).map_or(0, |job| job.version)
@@ -197,3 +237,44 @@
             .map(|((_, chunk), kept)| (*chunk, &kept.record))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::store::to_value;
+
+    fn put(replica: &mut Replica, number: u32, verdict: Verdict, version: u64) {
+        let id = JobId::parse(&format!("wk-{number:06}")).unwrap();
+        let record = to_value(&JobRecord { verdict, tasks: 1 });
+        replica.put(&keys::job(&id), &record, version);
+    }
+
+    /// Verdicts are kept for ever, but not by a process of 128 MB.
+    #[test]
+    fn final_verdicts_are_kept_up_to_a_bound_and_open_ones_always() {
+        let mut replica = Replica::keeping(10);
+        for number in 0..200 {
+            put(
+                &mut replica,
+                number,
+                Verdict::Accepted,
+                u64::from(number) + 1,
+            );
+        }
+        assert_eq!(replica.jobs.len(), 200, "all may still change");
+        for number in 0..150 {
+            put(
+                &mut replica,
+                number,
+                Verdict::Done,
+                1000 + u64::from(number),
+            );
+        }
+        assert_eq!(replica.jobs.len(), 50 + 10);
+        let last = JobId::parse("wk-000149").unwrap();
+        assert_eq!(replica.jobs[&last].record.0, Verdict::Done);
+        let first = JobId::parse("wk-000000").unwrap();
+        assert_eq!(replica.job_version(&first), 0, "to be asked for");
+        assert!(replica.over.len() <= 10);
+    }
+}
--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -115,6 +115,7 @@
             App::new()
                 .app_data(state.clone())
                 .route("/keys", web::get().to(list))
+                .route("/keys/{key:.*}", web::get().to(get_key))
                 .route("/multi", web::post().to(multi))
                 .route("/leases", web::post().to(grant))
                 .route("/leases/{id}/renew", web::post().to(renew))
@@ -154,21 +155,44 @@
 
 type Query = web::Query<BTreeMap<String, String>>;
 
+/// Keys a page, few so that reading on is the rule.
+const SMALL_PAGE: usize = 7;
+
+async fn get_key(state: web::Data<State>, key: web::Path<String>) -> HttpResponse {
+    let kept = match state.open() {
+        Ok(kept) => kept,
+        Err(refused) => return *refused,
+    };
+    match kept.keys.get(key.as_str()) {
+        Some((value, stamp, _)) => {
+            let row = cbor!({"path" => key.as_str(), "v" => value, "stamp" => stamp}).unwrap();
+            answer(200, &row)
+        }
+        None => answer(404, &cbor!({"epoch" => kept.epoch}).unwrap()),
+    }
+}
+
 async fn list(state: web::Data<State>, query: Query) -> HttpResponse {
     let kept = match state.open() {
         Ok(kept) => kept,
         Err(refused) => return *refused,
     };
     let under = query.get("under").cloned().unwrap_or_default();
-    let rows: Vec<Value> = kept
+    let after = query.get("after").cloned().unwrap_or_default();
+    let below: Vec<_> = kept
         .keys
         .iter()
-        .filter(|(key, _)| key.starts_with(&under))
+        .filter(|(key, _)| key.starts_with(&under) && **key > after)
+        .collect();
+    let more = below.len() > SMALL_PAGE;
+    let rows: Vec<Value> = below
+        .into_iter()
+        .take(SMALL_PAGE)
         .map(|(key, (value, stamp, _))| {
             cbor!({"path" => key, "v" => value, "stamp" => stamp}).unwrap()
         })
         .collect();
-    let page = cbor!({"rows" => rows, "more" => false, "epoch" => kept.epoch}).unwrap();
+    let page = cbor!({"rows" => rows, "more" => more, "epoch" => kept.epoch}).unwrap();
     answer(200, &page)
 }
 
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -296,6 +296,35 @@
     assert_eq!(bench.cloud.ran_twice(), 0);
 }
 
+/// A process of little memory keeps few verdicts at hand; of the others it asks.
+#[actix_web::test]
+async fn a_job_over_long_ago_stays_known_to_a_process_that_keeps_few_verdicts() {
+    let bench = Bench::new("few");
+    let text = std::fs::read_to_string(&bench.file).unwrap();
+    let small = text.replace("mem_mb = 136.0", "mem_mb = 0.002");
+    assert_ne!(small, text);
+    std::fs::write(&bench.file, small).unwrap();
+    let node = bench.start();
+    let ids: Vec<String> = (0..6).map(|n| format!("wk-{:06}", 700 + n)).collect();
+    for id in &ids {
+        node.accept(&job(id, "array", 1, 4.0)).await;
+        node.until(id, "done").await;
+    }
+    drop(node);
+    let node = bench.start();
+    for id in &ids {
+        node.until(id, "done").await;
+        let again = node.submit(&job(id, "array", 1, 4.0)).await;
+        assert_eq!(again, 200, "a repeated submission gets its state");
+        let (status, _, _) = node
+            .post(&format!("/api/jobs/{id}/abort"), Vec::new())
+            .await;
+        assert_eq!(status, 200);
+        node.until(id, "done").await;
+    }
+    assert_eq!(node.poll("wk-000799").await.0, 404);
+}
+
 /// Every accepted job stays known: after an outage, a restart, and both, polls for all of them
 /// are answered, and submissions in plenty do not starve them.
 #[actix_web::test]
