--- a/src/config.rs
+++ b/src/config.rs
@@ -228,6 +228,7 @@
             ("params.state.txn_ops", p.state.txn_ops as f64),
             ("params.cloud.rps", p.cloud.rps),
             ("params.count", p.count as f64),
+            ("params.resources.cores", p.resources.cores),
             ("params.resources.mem_mb", p.resources.mem_mb),
             (
                 "params.resources.max_sockets",
--- a/src/sched/rooms.rs
+++ b/src/sched/rooms.rs
@@ -118,8 +118,9 @@
 pub struct Departures {
     places: Vec<Departure>,
     claimed: Vec<bool>,
-    /// Places by the images of their machines, soonest first.
-    by_image: HashMap<ImageId, Vec<u32>>,
+    /// Places by the images of their machines, soonest first. Made when it is first asked for:
+    /// where images are fetched in no time, nobody waits for a place that has one.
+    by_image: Option<HashMap<ImageId, Vec<u32>>>,
 }
 
 /// A place that a running task is expected to leave.
@@ -133,6 +134,17 @@
     pub amount: Amount,
 }
 
+/// See [`Departures`].
+fn by_image(places: &[Departure], rooms: &Rooms) -> HashMap<ImageId, Vec<u32>> {
+    let mut by_image: HashMap<ImageId, Vec<u32>> = HashMap::new();
+    for (at, place) in places.iter().enumerate() {
+        for (image, _) in &rooms.all[place.room].machine.images {
+            by_image.entry(*image).or_default().push(at as u32);
+        }
+    }
+    by_image
+}
+
 impl Departures {
     /// From what runs, by the owners' estimates.
     pub fn of(rooms: &Rooms, now: Instant) -> Self {
@@ -154,16 +166,10 @@
             }
         }
         places.sort_by(|a: &Departure, b| a.rest_s.total_cmp(&b.rest_s));
-        let mut by_image: HashMap<ImageId, Vec<u32>> = HashMap::new();
-        for (at, place) in places.iter().enumerate() {
-            for (image, _) in &rooms.all[place.room].machine.images {
-                by_image.entry(*image).or_default().push(at as u32);
-            }
-        }
         Self {
             claimed: vec![false; places.len()],
             places,
-            by_image,
+            by_image: None,
         }
     }
 
@@ -226,7 +232,9 @@
         limit: f64,
         from: &mut usize,
     ) -> bool {
-        let Some(places) = self.by_image.get(&image) else {
+        let places = &self.places;
+        let by_image = self.by_image.get_or_insert_with(|| by_image(places, rooms));
+        let Some(places) = by_image.get(&image) else {
             return false;
         };
         while let Some(at) = places.get(*from).map(|at| *at as usize) {
