Claimants are looked at as before: passing over some let others stop more

Passing over claimants that can stop nobody freed the round's twelve looks for claims of guarantees, so more fraudscore was stopped, which cannot save.

--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -8,8 +8,8 @@
 use super::order::{Entry, Ordered};
 use super::rooms::{Departures, Rooms};
 use super::{Decisions, Halt, Policy, View};
-use crate::cluster::{build_named, Cluster, Drain, Job, KindId, Machine, Phase, Slot, SlotId};
-use crate::model::{Amount, JobId, JobSpec, MachineId, TaskId};
+use crate::cluster::{build_named, Cluster, Drain, Job, Machine, Phase, Slot, SlotId};
+use crate::model::{Amount, JobId, MachineId, TaskId};
 
 /// Stopping, saving and starting take about this long: room that comes free sooner is waited
 /// for, whatever the aims.
@@ -120,20 +120,8 @@
     if wanting.is_empty() {
         return;
     }
-    // Most claimants find nobody whom they may stop on any machine that they can use: they are
-    // passed over before anything is made that costs machines times tasks.
-    let placed: Vec<&Job> = cluster.jobs.values().filter(|j| j.placed()).collect();
-    let meets = Meetings::new(cluster, &placed);
-    let claimants: Vec<&(&Entry, u32)> = wanting
-        .iter()
-        .filter(|(claimant, _)| {
-            let by_guarantee = claims_guarantee(policy, claimant, now);
-            meets.anyone(&claimant.job.spec, by_guarantee)
-        })
-        .collect();
-    if claimants.is_empty() {
-        return;
-    }
+    let lowest = cluster.jobs.values().filter(|j| j.placed());
+    let lowest = lowest.map(|j| j.spec.rank).min();
     let mut used = staying_use(cluster);
     let mut promised: BTreeMap<MachineId, Amount> = BTreeMap::new();
     for start in &decisions.starts {
@@ -148,7 +136,12 @@
     let rooms = Rooms::of(cluster, now);
     let mut departures = Departures::of(&rooms, now);
     let mut looks = MOST_CLAIMS;
-    for (claimant, tasks) in claimants {
+    for (claimant, tasks) in wanting {
+        let by_rank = lowest.is_some_and(|rank| rank < claimant.job.spec.rank);
+        let by_guarantee = claims_guarantee(policy, claimant, now);
+        if !by_rank && !by_guarantee {
+            continue;
+        }
         if looks == 0 {
             break;
         }
@@ -220,44 +213,6 @@
     }
 }
 
-/// Who can be on the same machines as whom.
-struct Meetings<'a> {
-    cluster: &'a Cluster,
-    placed: &'a [&'a Job],
-    kinds: Vec<Vec<KindId>>,
-}
-
-impl<'a> Meetings<'a> {
-    fn new(cluster: &'a Cluster, placed: &'a [&'a Job]) -> Self {
-        let kinds = placed.iter().map(|job| kinds_of(cluster, &job.spec));
-        Self {
-            kinds: kinds.collect(),
-            cluster,
-            placed,
-        }
-    }
-
-    /// Whether a job shares a kind of machine with any that it may stop.
-    fn anyone(&self, spec: &JobSpec, by_guarantee: bool) -> bool {
-        let own = kinds_of(self.cluster, spec);
-        self.placed.iter().zip(&self.kinds).any(|(other, kinds)| {
-            let lower = other.spec.rank < spec.rank;
-            let other_team = by_guarantee && other.spec.team != spec.team;
-            (lower || other_team) && kinds.iter().any(|kind| own.contains(kind))
-        })
-    }
-}
-
-/// Kinds of machines that a task of the job fits.
-fn kinds_of(cluster: &Cluster, spec: &JobSpec) -> Vec<KindId> {
-    let fitting = cluster.kinds.iter().filter(|(_, kind)| {
-        spec.allows(&kind.build, &kind.zone, kind.spot)
-            && build_named(cluster.catalog(), &kind.build)
-                .is_some_and(|build| spec.need.fits(&build.room))
-    });
-    fitting.map(|(id, _)| id).collect()
-}
-
 /// What teams use without what is about to stop: only as much is taken from a team as it has
 /// beyond its guarantee.
 fn staying_use(cluster: &Cluster) -> HashMap<&str, Amount> {
