--- a/src/actors/leader.rs
+++ b/src/actors/leader.rs
@@ -14,7 +14,7 @@
 use crate::store::actor::{Commit, StoreActor, TakePart};
 use crate::store::client::StoreClient;
 use crate::store::keys::{self, LeaderRecord, TermRecord};
-use crate::store::{to_value, Change, Condition, Group, StoreError};
+use crate::store::{to_value, Change, Condition, Group, StoreError, Urgency};
 
 /// A renewal without an answer by then is repeated; the lease outlasts three of them.
 const RENEWAL_LIMIT: Duration = Duration::from_millis(600);
@@ -269,7 +269,7 @@
                 Change::put(keys::TERM, to_value(&TermRecord { term })),
             ],
         };
-        let outcome = self.store.send(Commit(group)).await;
+        let outcome = self.store.send(Commit(group, Urgency::Lead)).await;
         debug!(term = term.0, ?outcome, "sought the lead");
         match outcome {
             Ok(crate::store::Outcome::Committed(revision)) => {
--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -183,15 +183,16 @@
         let replica = self.shared.replica.lock();
         let mut guard = self.shared.cluster.lock();
         let cluster = guard.as_mut().filter(|c| c.term == lead.term);
-        cluster.map_or(Vec::new(), |cluster| cluster.due_writes(&replica))
+        cluster.map_or(Vec::new(), |cluster| cluster.due_writes(&replica, now))
     }
 
     /// Writes what the picture waits for, on condition that we still lead.
     async fn write(self: Rc<Self>, lead: Lead, mut write: RecordWrite) {
         let condition = Condition::new(keys::LEADER, lead.version);
         write.group.when.push(condition);
-        let sent = self.store.send(Commit(write.group)).await;
+        let sent = self.store.send(Commit(write.group, write.urgency)).await;
         let outcome = sent.unwrap_or(Outcome::Failed(StoreError::Unknown));
+        debug!(kind = ?write.kind, urgency = ?write.urgency, "write ended");
         if !outcome.committed() {
             debug!(kind = ?write.kind, ?outcome, "write failed");
             *self.writes_rest_until.lock() = Some(Instant::now() + WRITE_PAUSE);
--- a/src/api/admin.rs
+++ b/src/api/admin.rs
@@ -16,7 +16,7 @@
 use crate::metrics::Summary;
 use crate::service::{OperatorSettings, Shared};
 use crate::store::actor::{Commit, StoreActor};
-use crate::store::{keys, to_value, Change, Condition, Group, Outcome};
+use crate::store::{keys, to_value, Change, Condition, Group, Outcome, Urgency};
 use crate::wire::Problem;
 
 /// Largest body taken from an operator.
@@ -221,7 +221,7 @@
         when: vec![Condition::new(keys::SETTINGS, wanted.version)],
         apply: vec![Change::put(keys::SETTINGS, to_value(&wanted.settings))],
     };
-    let sent = actix::clock::timeout(CHANGE_LIMIT, store.send(Commit(group)));
+    let sent = actix::clock::timeout(CHANGE_LIMIT, store.send(Commit(group, Urgency::High)));
     match sent.await {
         Ok(Ok(Outcome::Committed(version))) => HttpResponse::Ok().json(VersionedSettings {
             version,
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -10,12 +10,12 @@
 
 use super::{cbor, later, problem};
 use crate::cluster::Catalog;
-use crate::model::{Amount, JobId, JobSpec, Shape, Verdict};
+use crate::model::{Amount, JobId, JobSpec, Rank, Shape, Verdict};
 use crate::sched::Policy;
 use crate::service::Shared;
 use crate::store::actor::{Check, Commit, StoreActor};
 use crate::store::keys::{self, JobRecord, LiveRecord};
-use crate::store::{to_value, Change, Condition, Group, Outcome, StoreError};
+use crate::store::{to_value, Change, Condition, Group, Outcome, StoreError, Urgency};
 use crate::wire::{self, JobBody, JobState};
 
 /// A submission is answered by then, while its user still waits.
@@ -79,9 +79,12 @@
     if let Some((Verdict::Done | Verdict::Cancelled, _)) = cached {
         return Ok(cached);
     }
+    let began = Instant::now();
     let check = store.send(Check(id.clone()));
     match actix::clock::timeout(POLL_LIMIT, check).await {
-        Ok(Ok(answer)) => answer,
+        // After standing still what was true when it was asked may be older than what another
+        // node has told since.
+        Ok(Ok(answer)) if began.elapsed() < POLL_LIMIT => answer,
         _ => Err(StoreError::Unknown),
     }
 }
@@ -190,24 +193,27 @@
     let submitted_ms = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64);
+    // When more is asked than can be written, what has time waits for what has none.
+    let urgency = if spec.rank == Rank::BestEffort {
+        Urgency::Low
+    } else {
+        Urgency::High
+    };
     let job = JobRecord {
         verdict: Verdict::Accepted,
         tasks,
-    };
-    let live = LiveRecord {
-        spec,
-        submitted_ms,
-        started: false,
-        hosts: None,
+        live: Some(LiveRecord {
+            spec,
+            submitted_ms,
+            started: false,
+            hosts: None,
+        }),
     };
     let group = Group {
         when: vec![Condition::new(keys::job(&id), 0)],
-        apply: vec![
-            Change::put(keys::job(&id), to_value(&job)),
-            Change::put(keys::live(&id), to_value(&live)),
-        ],
+        apply: vec![Change::put(keys::job(&id), to_value(&job))],
     };
-    let outcome = store.send(Commit(group)).await;
+    let outcome = store.send(Commit(group, urgency)).await;
     match outcome.unwrap_or(Outcome::Failed(StoreError::Unknown)) {
         Outcome::Committed(_) => {
             info!(job = %id, tasks, "accepted");
@@ -256,16 +262,25 @@
         if verdict != Verdict::Accepted {
             return cbor(StatusCode::OK, &state(shared, id, verdict, tasks));
         }
-        let version = shared.replica.lock().job_version(id);
+        let (version, live) = {
+            let replica = shared.replica.lock();
+            let live = replica.live.get(id).filter(|live| !live.apart);
+            (
+                replica.job_version(id),
+                live.map(|live| live.record.clone()),
+            )
+        };
+        // The description stays until no task of the job can be anywhere.
         let record = JobRecord {
             verdict: Verdict::Cancelled,
             tasks,
+            live,
         };
         let group = Group {
             when: vec![Condition::new(keys::job(id), version)],
             apply: vec![Change::put(keys::job(id), to_value(&record))],
         };
-        let outcome = store.send(Commit(group)).await;
+        let outcome = store.send(Commit(group, Urgency::High)).await;
         match outcome.unwrap_or(Outcome::Failed(StoreError::Unknown)) {
             Outcome::Committed(_) => {
                 info!(job = %id, "cancelled");
--- a/src/cluster/job.rs
+++ b/src/cluster/job.rs
@@ -29,6 +29,28 @@
 }
 
 impl Sent {
+    /// To no machine so far.
+    pub fn nowhere() -> Self {
+        Self::Hosts(BTreeSet::new())
+    }
+
+    /// The machines, where they are named.
+    pub fn hosts(&self) -> Option<&BTreeSet<MachineId>> {
+        match self {
+            Self::Hosts(hosts) => Some(hosts),
+            Self::Anywhere => None,
+        }
+    }
+
+    /// Takes more of them.
+    pub fn add(&mut self, more: Sent) {
+        match (&mut *self, more) {
+            (Self::Hosts(hosts), Self::Hosts(more)) => hosts.extend(more),
+            (_, Self::Anywhere) => *self = Self::Anywhere,
+            (Self::Anywhere, Self::Hosts(_)) => {}
+        }
+    }
+
     /// Whether starts may be sent there.
     pub fn covers(&self, machine: &MachineId) -> bool {
         match self {
@@ -86,6 +108,10 @@
     pub failed_on: BTreeSet<MachineId>,
     /// A write of its records is under way.
     pub writing: bool,
+    /// Whether versions up to 0.3.0 wrote it down, with a key for its description.
+    pub apart: bool,
+    /// When its completed tasks were last written down.
+    pub progress_at: Option<Instant>,
     /// When a task of it was first seen running, for the metrics.
     pub first_run: Option<Instant>,
     /// Why it waits, for the status page.
@@ -93,8 +119,8 @@
 }
 
 impl Job {
-    /// What the record should say of where starts were sent, if it does not cover the places
-    /// planned.
+    /// What the records should say besides of where starts were sent, if they do not cover the
+    /// places planned.
     pub fn sent_due(&self) -> Option<Sent> {
         let planned = || self.places.values().flatten().map(|place| &place.machine);
         if planned().all(|machine| self.sent.covers(machine)) {
@@ -103,11 +129,13 @@
         let Sent::Hosts(hosts) = &self.sent else {
             return None;
         };
-        let hosts: BTreeSet<MachineId> = hosts.iter().chain(planned()).cloned().collect();
-        let few = hosts.len() <= MOST_HOSTS && self.sent_writes < MOST_SENT_WRITES;
-        let gang = self.gang() && hosts.len() <= MOST_HOSTS;
+        let more: BTreeSet<MachineId> =
+            planned().filter(|m| !hosts.contains(*m)).cloned().collect();
+        let all = hosts.len() + more.len();
+        let few = all <= MOST_HOSTS && self.sent_writes < MOST_SENT_WRITES;
+        let gang = self.gang() && all <= MOST_HOSTS;
         Some(if few || gang {
-            Sent::Hosts(hosts)
+            Sent::Hosts(more)
         } else {
             Sent::Anywhere
         })
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -12,6 +12,7 @@
 pub mod machine;
 mod records;
 mod report;
+mod sent;
 mod sync;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -25,6 +26,7 @@
 pub use records::{RecordKind, RecordWrite};
 pub use report::{Verified, Way};
 
+use self::sent::SentBook;
 use crate::config::{secs, Settings};
 use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term};
 use crate::peer::{Hint, Told};
@@ -127,6 +129,11 @@
     /// Versions of the chunks and shards we wrote, which the replica may not show yet.
     versions: HashMap<String, u64>,
     roster: records::Roster,
+    sent: SentBook,
+    /// When a list was last written.
+    listed_at: Option<Instant>,
+    /// What the lists say of jobs that are not in the picture yet.
+    said: HashMap<JobId, Sent>,
     catalog: Catalog,
 }
 
@@ -142,6 +149,7 @@
     ) -> Self {
         let roster = records::Roster::load(&replica.roster, settings.params.state.value_kb);
         let unsettled: BTreeSet<MachineId> = roster.machines().cloned().collect();
+        let (sent, said) = SentBook::load(term, &replica.sent, settings.params.state.value_kb);
         let mut cluster = Self {
             term,
             since: now,
@@ -163,6 +171,9 @@
             versions: HashMap::new(),
             chunk: done::chunk_size(settings.params.state.value_kb),
             roster,
+            sent,
+            listed_at: None,
+            said,
             catalog,
         };
         let rostered: Vec<MachineId> = cluster.unsettled.iter().cloned().collect();
@@ -175,6 +186,10 @@
         for id in ids {
             cluster.sync_job(&id, replica, now, wall, true);
         }
+        // Of whatever else is listed no task can be anywhere.
+        cluster.said.clear();
+        let jobs = &cluster.jobs;
+        cluster.sent.keep(|id| jobs.contains_key(id));
         cluster
     }
 
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -1,16 +1,24 @@
 //! What of the picture has to be written down before something else may happen.
 //!
-//! Written per job and per batch, never per task: the started flag before a first start, the
-//! completed tasks before their `clear`, the verdict, and the roster of machines.
+//! Written per job and per batch, never per task: where starts go before they do, the completed
+//! tasks before their `clear`, the verdict, and the roster of machines.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 use super::machine::Durable;
-use super::{Cluster, Sent};
-use crate::model::{JobId, MachineId, Verdict};
-use crate::store::keys::{self, DoneRecord, JobRecord, LiveRecord, RosterRecord};
+use super::sent::{Entry, Page};
+use super::{Cluster, Job};
+use crate::model::{JobId, MachineId, Rank, Verdict};
+use crate::store::keys::{self, DoneRecord, JobRecord, RosterRecord};
 use crate::store::replica::{Replica, Versioned};
-use crate::store::{to_value, Change, Condition, Group, Outcome};
+use crate::store::{to_value, Change, Condition, Group, Outcome, Urgency};
+
+/// Time between two writes of a job's completed tasks while it has others: the machines keep the
+/// results until then, and a large array would otherwise write all of them with every round.
+const PROGRESS_EVERY: Duration = Duration::from_secs(2);
+/// Time between two lists that name only jobs of the lowest rank: a swarm's starts gather.
+const LOW_LISTS_EVERY: Duration = Duration::from_millis(800);
 
 /// Bytes a machine's name takes in a shard, envelope included.
 const NAME_BYTES: f64 = 32.0;
@@ -88,8 +96,8 @@
 /// What a write is for, so that its outcome can be taken in.
 #[derive(Debug, Clone)]
 pub enum RecordKind {
-    /// The job's started flag, with where starts may be sent.
-    Started(JobId, Sent),
+    /// A list of jobs with where starts of them may be sent; without jobs, the list goes.
+    Sent(String, Vec<Entry>),
     /// A chunk of the job's completed tasks.
     Done(JobId, usize, String),
     /// The verdict `done`; the job's other records go with it.
@@ -107,6 +115,29 @@
     pub kind: RecordKind,
     /// Conditions and changes; the leader's own condition is added by who sends it.
     pub group: Group,
+    /// What it may go before.
+    pub urgency: Urgency,
+}
+
+/// The change by which a job's records go, but for its verdict.
+fn records_go(id: &JobId, job: &Job, verdict: Verdict) -> Vec<Change> {
+    let record = JobRecord::bare(verdict, job.spec.tasks);
+    let mut apply = vec![Change::put(keys::job(id), to_value(&record))];
+    if job.apart {
+        apply.push(Change::delete(keys::live(id)));
+    }
+    let chunks = (0..job.done.chunks()).filter(|c| job.done.chunk_written(*c));
+    apply.extend(chunks.map(|chunk| Change::delete(keys::done(id, chunk))));
+    apply
+}
+
+/// How soon starts of such jobs have to be sent.
+fn urgency_of(rank: Rank) -> Urgency {
+    if rank == Rank::BestEffort {
+        Urgency::Low
+    } else {
+        Urgency::High
+    }
 }
 
 impl Cluster {
@@ -116,8 +147,9 @@
     /// A write of a chunk or a shard replaces the one before, so it is conditional on the
     /// version before: a write that got no answer may be applied minutes late, and must not
     /// then undo a newer one.
-    pub fn due_writes(&mut self, replica: &Replica) -> Vec<RecordWrite> {
+    pub fn due_writes(&mut self, replica: &Replica, now: Instant) -> Vec<RecordWrite> {
         let mut writes = Vec::new();
+        let mut starts: BTreeMap<Urgency, Vec<Entry>> = BTreeMap::new();
         for (id, job) in &mut self.jobs {
             if job.writing {
                 continue;
@@ -125,46 +157,30 @@
             let blocked = super::blocked_by(&self.unsettled, &self.machines, job);
             let mut when = vec![Condition::new(keys::job(id), job.version)];
             let all_done = job.done.len() == job.spec.tasks;
-            let records_go = |job: &super::Job| {
-                let mut apply = vec![Change::delete(keys::live(id))];
-                let chunks = (0..job.done.chunks()).filter(|c| job.done.chunk_written(*c));
-                apply.extend(chunks.map(|chunk| Change::delete(keys::done(id, chunk))));
-                apply
-            };
-            let write = match job.verdict {
-                Verdict::Accepted if all_done && !job.placed() => {
-                    let record = JobRecord {
-                        verdict: Verdict::Done,
-                        tasks: job.spec.tasks,
-                    };
-                    let mut apply = vec![Change::put(keys::job(id), to_value(&record))];
-                    apply.extend(records_go(job));
-                    Some((RecordKind::Finished(id.clone()), apply))
-                }
-                Verdict::Cancelled if !(job.placed() || blocked) => {
-                    Some((RecordKind::Retired(id.clone()), records_go(job)))
-                }
-                Verdict::Accepted if job.sent_due().is_some() => job.sent_due().map(|sent| {
-                    let record = LiveRecord {
-                        spec: (*job.spec).clone(),
-                        submitted_ms: job.submitted_ms,
-                        started: true,
-                        hosts: match &sent {
-                            Sent::Hosts(hosts) => {
-                                Some(hosts.iter().map(|h| h.0.to_string()).collect())
-                            }
-                            Sent::Anywhere => None,
-                        },
+            let rested = job
+                .progress_at
+                .is_none_or(|at| now.saturating_duration_since(at) >= PROGRESS_EVERY);
+            let (kind, apply, urgency) = match job.verdict {
+                Verdict::Accepted if all_done && !job.placed() => (
+                    RecordKind::Finished(id.clone()),
+                    records_go(id, job, Verdict::Done),
+                    Urgency::High,
+                ),
+                Verdict::Cancelled if !(job.placed() || blocked) => (
+                    RecordKind::Retired(id.clone()),
+                    records_go(id, job, Verdict::Cancelled),
+                    Urgency::Progress,
+                ),
+                Verdict::Accepted => {
+                    if let Some(sent) = job.sent_due() {
+                        let due = starts.entry(urgency_of(job.spec.rank)).or_default();
+                        due.push((id.clone(), sent));
+                        continue;
+                    }
+                    let Some(chunk) = job.done.dirty_chunk().filter(|_| rested) else {
+                        continue;
                     };
-                    // Like chunks: a late write must not undo a newer one.
-                    let key = keys::live(id);
-                    let own = self.versions.get(&key).copied().unwrap_or(0);
-                    let version = own.max(replica.live_version(id));
-                    when.push(Condition::new(key.clone(), version));
-                    let apply = vec![Change::put(key, to_value(&record))];
-                    (RecordKind::Started(id.clone(), sent), apply)
-                }),
-                Verdict::Accepted => job.done.dirty_chunk().map(|chunk| {
+                    job.progress_at = Some(now);
                     let bits = job.done.encode(chunk);
                     let record = DoneRecord { bits: bits.clone() };
                     let key = keys::done(id, chunk);
@@ -172,16 +188,20 @@
                     let version = own.max(replica.done_version(id, chunk));
                     when.push(Condition::new(key.clone(), version));
                     let kind = RecordKind::Done(id.clone(), chunk, bits);
-                    (kind, vec![Change::put(key, to_value(&record))])
-                }),
-                Verdict::Cancelled | Verdict::Done => None,
+                    let apply = vec![Change::put(key, to_value(&record))];
+                    (kind, apply, Urgency::Progress)
+                }
+                Verdict::Cancelled | Verdict::Done => continue,
             };
-            if let Some((kind, apply)) = write {
-                job.writing = true;
-                let group = Group { when, apply };
-                writes.push(RecordWrite { kind, group });
-            }
+            job.writing = true;
+            let group = Group { when, apply };
+            writes.push(RecordWrite {
+                kind,
+                group,
+                urgency,
+            });
         }
+        self.due_lists(starts, &mut writes, now);
         for machine in self.machines.values_mut() {
             if machine.reported.is_some() && machine.rostered == Durable::No {
                 machine.rostered = Durable::Writing;
@@ -200,18 +220,64 @@
             writes.push(RecordWrite {
                 kind: RecordKind::Roster(shard, names),
                 group: Group { when, apply },
+                urgency: Urgency::High,
             });
         }
         writes
     }
 
+    /// Lists of the starts that are due, the urgent ones first, and one that nobody needs.
+    fn due_lists(
+        &mut self,
+        starts: BTreeMap<Urgency, Vec<Entry>>,
+        writes: &mut Vec<RecordWrite>,
+        now: Instant,
+    ) {
+        let mut add = |page: Page, urgency| {
+            writes.push(RecordWrite {
+                kind: RecordKind::Sent(page.key, page.entries),
+                group: Group {
+                    when: vec![page.when],
+                    apply: vec![page.change],
+                },
+                urgency,
+            });
+        };
+        let most = starts.keys().next().copied();
+        let rested = self
+            .listed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= LOW_LISTS_EVERY);
+        let most = most.filter(|urgency| *urgency != Urgency::Low || rested);
+        if most.is_some() {
+            self.listed_at = Some(now);
+        }
+        // Who can wait goes along with who can't.
+        let mut due: Vec<Entry> = starts.into_values().flatten().collect();
+        while let Some(urgency) = most.filter(|_| !due.is_empty() && self.sent.may_write()) {
+            let Some(page) = self.sent.page(&mut due) else {
+                break;
+            };
+            for (id, _) in &page.entries {
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.writing = true;
+                }
+            }
+            add(page, urgency);
+        }
+        // A delete that waits for its turn must not keep a list from being written.
+        if due.is_empty() && self.sent.at_rest() {
+            if let Some(page) = self.sent.surplus() {
+                add(page, Urgency::Progress);
+            }
+        }
+    }
+
     /// Takes a write's outcome. Whatever is not known to be written is written again.
     pub fn written(&mut self, kind: &RecordKind, outcome: &Outcome) {
         let ok = outcome.committed();
         self.dirty = true;
         if let Outcome::Committed(revision) = outcome {
             let key = match kind {
-                RecordKind::Started(id, _) => Some(keys::live(id)),
                 RecordKind::Done(id, chunk, _) => Some(keys::done(id, *chunk)),
                 RecordKind::Roster(shard, _) => Some(keys::roster(*shard)),
                 _ => None,
@@ -221,13 +287,22 @@
             }
         }
         match kind {
-            RecordKind::Started(id, sent) => {
-                if let Some(job) = self.jobs.get_mut(id) {
-                    job.writing = false;
-                    if ok {
-                        job.started = Durable::Yes;
-                        job.sent = sent.clone();
-                        job.sent_writes += 1;
+            RecordKind::Sent(key, entries) => {
+                let version = match outcome {
+                    Outcome::Committed(revision) => Some(*revision),
+                    _ => None,
+                };
+                let jobs = entries.iter().map(|(id, _)| id.clone());
+                let known = jobs.filter(|id| self.jobs.contains_key(id)).collect();
+                self.sent.written(key, known, version);
+                for (id, sent) in entries {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.writing = false;
+                        if ok {
+                            job.started = Durable::Yes;
+                            job.sent.add(sent.clone());
+                            job.sent_writes += 1;
+                        }
                     }
                 }
             }
@@ -236,17 +311,12 @@
                     job.writing = false;
                     if ok {
                         job.done.mark_durable(*chunk, bits);
+                    } else {
+                        job.progress_at = None;
                     }
                 }
             }
-            RecordKind::Finished(id) => {
-                if ok {
-                    self.forget_job(id);
-                } else if let Some(job) = self.jobs.get_mut(id) {
-                    job.writing = false;
-                }
-            }
-            RecordKind::Retired(id) => {
+            RecordKind::Finished(id) | RecordKind::Retired(id) => {
                 if ok {
                     self.forget_job(id);
                 } else if let Some(job) = self.jobs.get_mut(id) {
--- a/src/cluster/sync.rs
+++ b/src/cluster/sync.rs
@@ -47,6 +47,19 @@
             return;
         };
         let record = &live.record;
+        // What starts there were, by all that the records say.
+        let listed = self.said.remove(id);
+        let started = record.started || listed.is_some();
+        let mut sent = match &record.hosts {
+            Some(hosts) => {
+                Sent::Hosts(hosts.iter().map(|h| MachineId(h.as_str().into())).collect())
+            }
+            None if record.started => Sent::Anywhere,
+            None => Sent::nowhere(),
+        };
+        if let Some(listed) = listed {
+            sent.add(listed);
+        }
         let wall_ms = wall
             .duration_since(SystemTime::UNIX_EPOCH)
             .map_or(0, |d| d.as_millis() as u64);
@@ -68,19 +81,9 @@
             submitted_ms: record.submitted_ms,
             version: verdict.version,
             verdict: verdict.record.0,
-            started: if record.started {
-                Durable::Yes
-            } else {
-                Durable::No
-            },
-            inherited: record.started,
-            sent: match &record.hosts {
-                Some(hosts) => {
-                    Sent::Hosts(hosts.iter().map(|h| MachineId(h.as_str().into())).collect())
-                }
-                None if record.started => Sent::Anywhere,
-                None => Sent::Hosts(BTreeSet::new()),
-            },
+            started: if started { Durable::Yes } else { Durable::No },
+            inherited: started,
+            sent,
             sent_writes: 0,
             done,
             places: BTreeMap::new(),
@@ -91,6 +94,8 @@
             rests_until: None,
             failed_on: BTreeSet::new(),
             writing: false,
+            apart: live.apart,
+            progress_at: None,
             first_run: None,
             waits_for: "its first round",
         };
@@ -103,7 +108,7 @@
             for chunk in 0..job.done.chunks() {
                 self.versions.remove(&keys::done(id, chunk));
             }
-            self.versions.remove(&keys::live(id));
+            self.sent.over(id);
             for machine in self.machines.values_mut().filter(|m| m.restless()) {
                 machine.slots.retain(|slot, state| {
                     // What was never sent needs no memory; the rest stays until it is gone.
--- a/src/store/actor.rs
+++ b/src/store/actor.rs
@@ -1,59 +1,55 @@
-//! Owner of all traffic with the state service: queues, batches, the watch.
+//! Owner of all traffic with the state service: queues, batches, and the watch's start.
 //!
 //! Groups that wait together leave in one transaction, so batches widen with the load; a
-//! group whose condition failed is answered alone and its neighbours are sent again. Polls
-//! that wait together are checked by one transaction that only compares.
+//! group whose condition failed is answered alone and its neighbours are sent again.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix::prelude::*;
-use tokio::sync::oneshot;
-use tracing::{debug, info};
+use tokio::sync::{oneshot, Notify};
+use tracing::debug;
 
 use super::client::StoreClient;
 use super::limiter::Limiter;
-use super::{keys, Change, Condition, Group, Outcome, StoreError};
+use super::looks::{self, Asking};
+use super::{Change, Group, Outcome, StoreError, Urgency};
 use crate::config::StateSettings;
 use crate::model::{JobId, Verdict};
 use crate::service::Shared;
 
 /// Transactions under way at once: one slow answer must not hold up all others.
 const MOST_IN_FLIGHT: usize = 3;
-/// Groups that may wait; beyond this a submission is refused at once.
-const MOST_WAITING: usize = 256;
-/// Polls that may wait for a check.
-const MOST_CHECKS: usize = 512;
+/// Groups that may wait, as a bound on memory.
+const MOST_WAITING: usize = 1024;
+/// How long a group that somebody waits for may have to wait for its turn by the limits. What
+/// would take longer is refused at once, and its user told when to come back.
+const LONGEST_QUEUE: Duration = Duration::from_secs(2);
 /// Conditions a transaction may have for every put or delete allowed.
-const CONDITIONS_PER_OP: usize = 4;
-/// Pause between two checks, so that polls gather instead of costing a request each.
-const CHECK_PAUSE: Duration = Duration::from_millis(80);
-/// Pause between two openings of the watch; changes gather meanwhile.
-const WATCH_PAUSE: Duration = Duration::from_millis(100);
+pub(super) const CONDITIONS_PER_OP: usize = 4;
 /// How long a watch stays open. Bounds how stale a replica can get when an answer is lost.
 pub const WATCH_HOLD: Duration = Duration::from_secs(4);
 /// Time for a watch's answer to arrive after it was due.
 pub const WATCH_GRACE: Duration = Duration::from_millis(1500);
-/// Pause after a failed request to the service.
-const FAILURE_PAUSE: Duration = Duration::from_millis(250);
-/// How long a poll waits for the replica to catch up with a check.
-const CATCH_UP: Duration = Duration::from_millis(1500);
 /// Part of `txn_ops`' byte limit used, as sizes are measured in another form than sent.
 const BATCH_BYTES: usize = 48 * 1024;
 
-/// A group for the state service.
+/// A group for the state service, with what it may go before.
 #[derive(Message)]
 #[rtype(result = "Outcome")]
-pub struct Commit(pub Group);
+pub struct Commit(pub Group, pub Urgency);
 
 /// Asks for a job's verdict as it stands now, not as it stood.
 #[derive(Message)]
-#[rtype(result = "Result<Option<(Verdict, u32)>, StoreError>")]
+#[rtype(result = "CheckAnswer")]
 pub struct Check(pub JobId);
 
+/// A job's verdict and number of tasks; nothing if there is no such job.
+pub type CheckAnswer = Result<Option<(Verdict, u32)>, StoreError>;
+
 /// Takes the leader's part of the limits, or gives it back.
 #[derive(Message)]
 #[rtype(result = "()")]
@@ -65,18 +61,74 @@
     reply: oneshot::Sender<Outcome>,
 }
 
-struct Inner {
-    client: StoreClient,
-    limits: StateSettings,
-    shared: Arc<Shared>,
-    limiter: RefCell<Limiter>,
-    queue: RefCell<VecDeque<Waiting>>,
-    in_flight: RefCell<usize>,
-    checks: RefCell<BTreeMap<JobId, Vec<oneshot::Sender<CheckAnswer>>>>,
-    checking: RefCell<bool>,
+/// Groups that wait, by urgency.
+#[derive(Default)]
+struct Queue {
+    groups: BTreeMap<Urgency, VecDeque<Waiting>>,
 }
 
-type CheckAnswer = Result<Option<(Verdict, u32)>, StoreError>;
+impl Queue {
+    fn len(&self) -> usize {
+        self.groups.values().map(VecDeque::len).sum()
+    }
+
+    /// Changes waiting that go before, or along with, a group of this urgency.
+    fn changes_before(&self, urgency: Urgency) -> usize {
+        let before = self.groups.range(..=urgency).flat_map(|(_, groups)| groups);
+        before.map(|waiting| waiting.group.apply.len()).sum()
+    }
+
+    fn push(&mut self, urgency: Urgency, waiting: Waiting) {
+        self.groups.entry(urgency).or_default().push_back(waiting);
+    }
+
+    fn first(&self) -> Option<&Waiting> {
+        self.groups.values().find_map(VecDeque::front)
+    }
+
+    /// The groups that leave together: in order, with no key changed twice, within the limits of
+    /// a transaction, and with no more changes than `allowed` beyond the first.
+    fn batch(&mut self, limits: &StateSettings, allowed: f64) -> Vec<Waiting> {
+        let mut batch: Vec<Waiting> = Vec::new();
+        let (mut ops, mut conditions, mut bytes) = (0, 0, 0);
+        let mut touched: HashSet<String> = HashSet::new();
+        for groups in self.groups.values_mut() {
+            while let Some(next) = groups.front() {
+                let (more_ops, more_conditions) = (next.group.apply.len(), next.group.when.len());
+                let fits = ops + more_ops <= limits.txn_ops
+                    && (ops + more_ops) as f64 <= allowed
+                    && conditions + more_conditions <= limits.txn_ops * CONDITIONS_PER_OP
+                    && bytes + next.bytes <= BATCH_BYTES
+                    && next.group.apply.iter().all(|c| !touched.contains(c.key()));
+                if !fits && !batch.is_empty() {
+                    return batch;
+                }
+                let Some(next) = groups.pop_front() else {
+                    break;
+                };
+                ops += more_ops;
+                conditions += more_conditions;
+                bytes += next.bytes;
+                touched.extend(next.group.apply.iter().map(|c| c.key().to_owned()));
+                batch.push(next);
+            }
+        }
+        batch
+    }
+}
+
+/// What the parts that talk with the state service share, all on one thread.
+pub(super) struct Inner {
+    pub(super) client: StoreClient,
+    pub(super) limits: StateSettings,
+    pub(super) shared: Arc<Shared>,
+    pub(super) asking: Asking,
+    limiter: RefCell<Limiter>,
+    queue: RefCell<Queue>,
+    in_flight: Cell<usize>,
+    /// Wakes who sends: another group waits, or another transaction may be under way.
+    wake_sender: Notify,
+}
 
 /// The actor.
 pub struct StoreActor(Rc<Inner>);
@@ -91,11 +143,11 @@
             client,
             limits,
             shared,
+            asking: Asking::default(),
             limiter: RefCell::new(limiter),
             queue: RefCell::default(),
-            in_flight: RefCell::new(0),
-            checks: RefCell::default(),
-            checking: RefCell::new(false),
+            in_flight: Cell::new(0),
+            wake_sender: Notify::new(),
         }))
     }
 }
@@ -104,16 +156,17 @@
     type Context = Context<Self>;
 
     fn started(&mut self, _: &mut Self::Context) {
-        actix::spawn(watch(self.0.clone()));
+        actix::spawn(looks::watch(self.0.clone()));
+        actix::spawn(send_all(self.0.clone()));
     }
 }
 
 impl Handler<Commit> for StoreActor {
     type Result = ResponseFuture<Outcome>;
 
-    fn handle(&mut self, Commit(group): Commit, _: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, Commit(group, urgency): Commit, _: &mut Self::Context) -> Self::Result {
         let inner = self.0.clone();
-        if inner.queue.borrow().len() >= MOST_WAITING {
+        if inner.refuses(&group, urgency) {
             return Box::pin(async { Outcome::Failed(StoreError::Refused(429)) });
         }
         let (reply, answer) = oneshot::channel();
@@ -123,8 +176,8 @@
             bytes,
             reply,
         };
-        inner.queue.borrow_mut().push_back(waiting);
-        pump(&inner);
+        inner.queue.borrow_mut().push(urgency, waiting);
+        inner.wake_sender.notify_one();
         Box::pin(async move { answer.await.unwrap_or(Outcome::Failed(StoreError::Unknown)) })
     }
 }
@@ -133,18 +186,7 @@
     type Result = ResponseFuture<CheckAnswer>;
 
     fn handle(&mut self, Check(id): Check, _: &mut Self::Context) -> Self::Result {
-        let inner = self.0.clone();
-        let (reply, answer) = oneshot::channel();
-        {
-            let mut checks = inner.checks.borrow_mut();
-            if checks.len() >= MOST_CHECKS && !checks.contains_key(&id) {
-                return Box::pin(async { Err(StoreError::Refused(429)) });
-            }
-            checks.entry(id).or_default().push(reply);
-        }
-        if !inner.checking.replace(true) {
-            actix::spawn(check_loop(inner));
-        }
+        let answer = self.0.asking.ask(id);
         Box::pin(async move { answer.await.unwrap_or(Err(StoreError::Unknown)) })
     }
 }
@@ -174,49 +216,91 @@
     conditions + changes
 }
 
-/// Starts as many transactions as may run now.
-fn pump(inner: &Rc<Inner>) {
-    while *inner.in_flight.borrow() < MOST_IN_FLIGHT {
-        let batch = next_batch(inner);
-        if batch.is_empty() {
-            return;
+impl Inner {
+    /// Whether a group is better refused at once: by the limits its turn would come too late for
+    /// whoever waits for it. The election and what nobody waits for only keep to the bound.
+    fn refuses(&self, group: &Group, urgency: Urgency) -> bool {
+        let queue = self.queue.borrow();
+        if urgency == Urgency::Lead {
+            return false;
+        }
+        if queue.len() >= MOST_WAITING {
+            return true;
+        }
+        let leads = self.shared.role.lock().own_term().is_some();
+        if urgency == Urgency::Progress || leads {
+            return false;
+        }
+        let before = queue.changes_before(urgency) + group.apply.len();
+        let wait = self
+            .limiter
+            .borrow_mut()
+            .writes
+            .wait_beyond(before as f64, Instant::now());
+        wait > LONGEST_QUEUE
+    }
+
+    /// Waits until the limits allow, then takes from them.
+    pub(super) async fn pace(&self, requests: f64, writes: f64) {
+        while let Some(wait) = self.wait_for(requests, writes) {
+            actix::clock::sleep(wait).await;
+        }
+        self.limiter
+            .borrow_mut()
+            .take(requests, writes, Instant::now());
+    }
+
+    /// How long the limits want us to wait. A call of its own, so that no borrow of them lasts
+    /// while somebody sleeps.
+    fn wait_for(&self, requests: f64, writes: f64) -> Option<Duration> {
+        self.limiter
+            .borrow_mut()
+            .wait(requests, writes, Instant::now())
+    }
+
+    /// Notes whether a request sent then was answered.
+    pub(super) fn note(&self, sent: Instant, answered: bool) {
+        if answered {
+            self.shared.store_answered(sent);
+        } else {
+            self.shared.store_failed();
         }
-        *inner.in_flight.borrow_mut() += 1;
-        let inner = inner.clone();
-        actix::spawn(async move {
-            send_batch(&inner, batch).await;
-            *inner.in_flight.borrow_mut() -= 1;
-            pump(&inner);
-        });
     }
 }
 
-/// The groups that leave together: in order, with no key changed twice, within the limits.
-fn next_batch(inner: &Inner) -> Vec<Waiting> {
-    let mut queue = inner.queue.borrow_mut();
-    let mut batch: Vec<Waiting> = Vec::new();
-    let (mut ops, mut conditions, mut bytes) = (0, 0, 0);
-    let mut touched: HashSet<String> = HashSet::new();
-    while let Some(next) = queue.front() {
-        let (more_ops, more_conditions) = (next.group.apply.len(), next.group.when.len());
-        let fits = ops + more_ops <= inner.limits.txn_ops
-            && conditions + more_conditions <= inner.limits.txn_ops * CONDITIONS_PER_OP
-            && bytes + next.bytes <= BATCH_BYTES
-            && next.group.apply.iter().all(|c| !touched.contains(c.key()));
-        if !fits && !batch.is_empty() {
-            break;
+/// Sends what waits, for as long as the process lives. A batch is made when the limits let it
+/// go and not before, so that it takes in all that came meanwhile, the most urgent first.
+async fn send_all(inner: Rc<Inner>) {
+    loop {
+        let free = inner.in_flight.get() < MOST_IN_FLIGHT;
+        let first = inner.queue.borrow().first().map(|w| w.group.apply.len());
+        let Some(first) = first.filter(|_| free) else {
+            inner.wake_sender.notified().await;
+            continue;
+        };
+        if let Some(wait) = inner.wait_for(1.0, first as f64) {
+            // Something smaller may come and go first.
+            let _ = actix::clock::timeout(wait, inner.wake_sender.notified()).await;
+            continue;
         }
-        let Some(next) = queue.pop_front() else { break };
-        ops += more_ops;
-        conditions += more_conditions;
-        bytes += next.bytes;
-        touched.extend(next.group.apply.iter().map(|c| c.key().to_owned()));
-        batch.push(next);
+        let now = Instant::now();
+        let allowed = inner.limiter.borrow_mut().writes.level(now);
+        let batch = inner.queue.borrow_mut().batch(&inner.limits, allowed);
+        let ops: usize = batch.iter().map(|w| w.group.apply.len()).sum();
+        inner.limiter.borrow_mut().take(1.0, ops as f64, now);
+        inner.in_flight.set(inner.in_flight.get() + 1);
+        let inner = inner.clone();
+        actix::spawn(async move {
+            send_batch(&inner, batch).await;
+            inner.in_flight.set(inner.in_flight.get() - 1);
+            inner.wake_sender.notify_one();
+        });
     }
-    batch
 }
 
+/// Sends a batch for which the limits were asked; what is left after a conflict asks again.
 async fn send_batch(inner: &Rc<Inner>, mut batch: Vec<Waiting>) {
+    let mut again = false;
     while !batch.is_empty() {
         let mut all = Group::default();
         for waiting in &batch {
@@ -227,10 +311,12 @@
             }
             all.apply.extend(waiting.group.apply.iter().cloned());
         }
-        pace(inner, 1.0, all.apply.len() as f64).await;
+        if std::mem::replace(&mut again, true) {
+            inner.pace(1.0, all.apply.len() as f64).await;
+        }
         let sent = Instant::now();
         let outcome = inner.client.transact(&all).await;
-        note(inner, sent, !matches!(outcome, Outcome::Failed(_)));
+        inner.note(sent, !matches!(outcome, Outcome::Failed(_)));
         match outcome {
             Outcome::Conflict { failed, revision } => {
                 let (fallen, left): (Vec<_>, Vec<_>) = batch.into_iter().partition(|waiting| {
@@ -262,215 +348,54 @@
     }
 }
 
-/// Waits until the limits allow, then takes from them.
-async fn pace(inner: &Inner, requests: f64, writes: f64) {
-    loop {
-        let now = Instant::now();
-        let wait = {
-            let mut limiter = inner.limiter.borrow_mut();
-            let wait = limiter
-                .requests
-                .wait(requests, now)
-                .max(limiter.writes.wait(writes, now));
-            if wait.is_zero() {
-                limiter.requests.take(requests, now);
-                limiter.writes.take(writes, now);
-                return;
-            }
-            wait
-        };
-        actix::clock::sleep(wait).await;
-    }
-}
-
-fn note(inner: &Inner, sent: Instant, answered: bool) {
-    if answered {
-        inner.shared.store_answered(sent);
-    } else {
-        inner.shared.store_failed();
-    }
-}
+#[cfg(test)]
+mod tests {
+    use super::*;
 
-/// Checks waiting polls, a batch at a time, until none waits.
-async fn check_loop(inner: Rc<Inner>) {
-    loop {
-        let batch: Vec<_> = {
-            let mut checks = inner.checks.borrow_mut();
-            let most = inner.limits.txn_ops * CONDITIONS_PER_OP;
-            let mut batch = Vec::new();
-            while batch.len() < most {
-                match checks.pop_first() {
-                    Some(entry) => batch.push(entry),
-                    None => break,
-                }
-            }
-            batch
+    fn put(queue: &mut Queue, urgency: Urgency, key: &str, ops: usize) {
+        let apply = (0..ops).map(|n| Change::delete(format!("{key}/{n}")));
+        let group = Group {
+            when: Vec::new(),
+            apply: apply.collect(),
         };
-        if batch.is_empty() {
-            inner.checking.replace(false);
-            return;
-        }
-        check_batch(&inner, batch).await;
-        actix::clock::sleep(CHECK_PAUSE).await;
-    }
-}
-
-type WaitingCheck = (JobId, Vec<oneshot::Sender<CheckAnswer>>);
-
-async fn check_batch(inner: &Rc<Inner>, batch: Vec<WaitingCheck>) {
-    let group = {
-        let replica = inner.shared.replica.lock();
-        let when = batch
-            .iter()
-            .map(|(id, _)| Condition::new(keys::job(id), replica.job_version(id)))
-            .collect();
-        Group {
-            when,
-            apply: Vec::new(),
-        }
-    };
-    pace(inner, 1.0, 0.0).await;
-    let sent = Instant::now();
-    let outcome = inner.client.transact(&group).await;
-    note(inner, sent, !matches!(outcome, Outcome::Failed(_)));
-    let (failed, revision) = match outcome {
-        Outcome::Committed(_) => (Vec::new(), 0),
-        Outcome::Conflict { failed, revision } => (failed, revision),
-        Outcome::Failed(error) => {
-            for reply in batch.into_iter().flat_map(|(_, replies)| replies) {
-                let _ = reply.send(Err(error.clone()));
-            }
-            return;
-        }
-    };
-    let current = |id: &JobId| {
-        let replica = inner.shared.replica.lock();
-        replica.jobs.get(id).map(|job| job.record)
-    };
-    let (stale, good): (Vec<_>, Vec<_>) = batch
-        .into_iter()
-        .partition(|(id, _)| failed.contains(&keys::job(id)));
-    for (id, replies) in good {
-        let answer = Ok(current(&id));
-        for reply in replies {
-            let _ = reply.send(answer.clone());
-        }
-    }
-    if stale.is_empty() {
-        return;
-    }
-    // Once the replica has reached the check's revision, what it says is no older than the
-    // check; until then it must not be repeated to anybody.
-    let caught_up = reach(&inner.shared, revision).await;
-    for (id, replies) in stale {
-        let answer = match (caught_up, current(&id)) {
-            (true, Some(record)) => Ok(Some(record)),
-            // The check found the key; the replica has let it go, or has none of it yet.
-            (true, None) => read_verdict(inner, &id).await,
-            (false, _) => Err(StoreError::Unknown),
+        let (reply, _) = oneshot::channel();
+        let bytes = weigh(&group);
+        let waiting = Waiting {
+            group,
+            bytes,
+            reply,
         };
-        for reply in replies {
-            let _ = reply.send(answer.clone());
-        }
+        queue.push(urgency, waiting);
     }
-}
-
-/// Asks for one verdict.
-async fn read_verdict(inner: &Inner, id: &JobId) -> CheckAnswer {
-    pace(inner, 1.0, 0.0).await;
-    let sent = Instant::now();
-    let read = inner.client.get(&keys::job(id)).await;
-    note(inner, sent, read.is_ok());
-    let Some(row) = read? else {
-        return Ok(None);
-    };
-    let record: Option<keys::JobRecord> = super::from_value(&row.value);
-    // A record of no form we know is no sign that there is no such job.
-    let record = record.ok_or_else(|| StoreError::Nonsense("a job's record".to_owned()))?;
-    Ok(Some((record.verdict, record.tasks)))
-}
-
-/// Waits until the replica has reached a revision.
-async fn reach(shared: &Shared, revision: u64) -> bool {
-    let mut changed = shared.revision.subscribe();
-    let wait = changed.wait_for(|reached| *reached >= revision);
-    let reached = actix::clock::timeout(CATCH_UP, wait).await;
-    matches!(reached, Ok(Ok(_)))
-}
 
-/// Keeps the replica up to date for as long as the process lives.
-async fn watch(inner: Rc<Inner>) {
-    let mut loaded = false;
-    loop {
-        pace(&inner, 1.0, 0.0).await;
-        let sent = Instant::now();
-        let result = if loaded {
-            follow(&inner).await
-        } else {
-            load(&inner).await
-        };
-        match result {
-            Ok(()) => {
-                loaded = true;
-                // A watch's answer proves contact at its end at the earliest.
-                note(&inner, sent, true);
-                actix::clock::sleep(WATCH_PAUSE).await;
-            }
-            Err(StoreError::TooOld) => loaded = false,
-            Err(error) => {
-                if error != StoreError::Unknown {
-                    note(&inner, sent, false);
-                }
-                debug!(%error, "watch");
-                actix::clock::sleep(FAILURE_PAUSE).await;
-            }
-        }
+    fn keys(batch: &[Waiting]) -> Vec<&str> {
+        batch.iter().map(|w| w.group.apply[0].key()).collect()
     }
-}
 
-/// All our keys, and the revision from which a watch has to go on. Every page takes its place
-/// in the limits: all controllers may start at once, each with hundreds of jobs to read.
-async fn read_all(inner: &Inner) -> Result<(Vec<super::Row>, u64), StoreError> {
-    let mut rows: Vec<super::Row> = Vec::new();
-    let mut revision = None;
-    loop {
-        let after = rows.last().map(|row| row.key.clone());
-        if after.is_some() {
-            pace(inner, 1.0, 0.0).await;
-        }
-        let page = inner.client.page(keys::ROOT, after.as_deref()).await?;
-        // The first page's revision: the watch then brings again what changed meanwhile.
-        let first = *revision.get_or_insert(page.revision);
-        let last = page.rows.is_empty() || !page.more;
-        rows.extend(page.rows);
-        if last {
-            return Ok((rows, first));
-        }
+    /// A swarm of jobs that can wait used up the limits, and urgent submissions came too late.
+    #[test]
+    fn a_batch_takes_the_most_urgent_first_and_no_more_than_the_limits_allow() {
+        let limits = StateSettings {
+            rps: 80.0,
+            write_rps: 30.0,
+            value_kb: 32.0,
+            txn_ops: 12,
+        };
+        let mut queue = Queue::default();
+        put(&mut queue, Urgency::Progress, "chunk", 1);
+        put(&mut queue, Urgency::Low, "swarm", 3);
+        put(&mut queue, Urgency::High, "gang", 2);
+        assert_eq!(queue.changes_before(Urgency::High), 2);
+        assert_eq!(queue.changes_before(Urgency::Low), 5);
+        assert_eq!(keys(&queue.batch(&limits, 4.9)), ["gang/0"]);
+        let rest = queue.batch(&limits, 4.9);
+        assert_eq!(keys(&rest), ["swarm/0", "chunk/0"]);
+        put(&mut queue, Urgency::High, "many", 12);
+        assert_eq!(
+            keys(&queue.batch(&limits, 2.0)),
+            ["many/0"],
+            "the first goes"
+        );
+        assert_eq!(queue.len(), 0);
     }
 }
-
-async fn load(inner: &Inner) -> Result<(), StoreError> {
-    let (rows, revision) = read_all(inner).await?;
-    info!(keys = rows.len(), revision, "records read");
-    let news = inner.shared.replica.lock().load(rows, revision);
-    inner.shared.revision.send_replace(revision);
-    inner.shared.tell(&news);
-    Ok(())
-}
-
-async fn follow(inner: &Inner) -> Result<(), StoreError> {
-    let after = inner.shared.replica.lock().revision;
-    let limit = WATCH_HOLD + WATCH_GRACE;
-    let got = inner
-        .client
-        .follow(keys::ROOT, after, WATCH_HOLD, limit)
-        .await?;
-    let (news, revision) = {
-        let mut replica = inner.shared.replica.lock();
-        let news = replica.apply(&got.events, got.revision);
-        (news, replica.revision)
-    };
-    inner.shared.revision.send_replace(revision);
-    inner.shared.tell(&news);
-    Ok(())
-}
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -20,13 +20,14 @@
 const LIVE: &str = "kl/live/";
 const DONE: &str = "kl/done/";
 const ROSTER: &str = "kl/roster/";
+const SENT: &str = "kl/sent/";
 
-/// The verdict on a job; kept for ever.
+/// The verdict on a job, kept for ever, and its description while any task of it can be anywhere.
 pub fn job(id: &JobId) -> String {
     format!("{JOB}{id}")
 }
 
-/// The job's description while any task of it can be anywhere.
+/// Where versions up to 0.3.0 kept the description; read, and deleted with the job's end.
 pub fn live(id: &JobId) -> String {
     format!("{LIVE}{id}")
 }
@@ -41,6 +42,11 @@
     format!("{ROSTER}{shard:04}")
 }
 
+/// One list of where starts of several jobs may have been sent. Its number is given out once.
+pub fn sent(term: Term, number: u32) -> String {
+    format!("{SENT}{:010}-{number:06}", term.0)
+}
+
 /// What a key is about.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Key {
@@ -58,6 +64,8 @@
     Done(JobId, usize),
     /// See [`roster`].
     Roster(usize),
+    /// See [`sent`].
+    Sent(String),
 }
 
 /// Reads a key.
@@ -78,6 +86,9 @@
         let (id, chunk) = rest.split_once('/')?;
         return Some(Key::Done(JobId::parse(id)?, chunk.parse().ok()?));
     }
+    if key.starts_with(SENT) {
+        return Some(Key::Sent(key.to_owned()));
+    }
     let shard = key.strip_prefix(ROSTER)?;
     shard.parse().ok().map(Key::Roster)
 }
@@ -109,16 +120,33 @@
     pub verdict: Verdict,
     /// Number of tasks, for display after the end.
     pub tasks: u32,
+    /// The description, until no task of it can be anywhere any more. In the same value as the
+    /// verdict: of a swarm of small jobs each costs one change to take and one to end.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub live: Option<LiveRecord>,
+}
+
+impl JobRecord {
+    /// A verdict without a description.
+    pub fn bare(verdict: Verdict, tasks: u32) -> Self {
+        Self {
+            verdict,
+            tasks,
+            live: None,
+        }
+    }
 }
 
-/// Record below [`live`].
+/// A job's description: in its [`JobRecord`], or below [`live`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct LiveRecord {
     /// The job.
     pub spec: JobSpec,
     /// When it was taken, in milliseconds of the time of day.
     pub submitted_ms: u64,
-    /// Whether any start of a task of it may have been sent.
+    /// Whether any start of a task of it may have been sent, as versions up to 0.3.0 wrote it
+    /// down; now [`SentRecord`]s say so.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub started: bool,
     /// To which machines at most; nothing: to any.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -132,6 +160,14 @@
     pub bits: String,
 }
 
+/// Record below [`sent`]: starts of these jobs may have been sent to these machines, or to any
+/// where none are named. What several records say of a job adds up.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct SentRecord {
+    /// Jobs with their machines.
+    pub jobs: Vec<(JobId, Option<Vec<String>>)>,
+}
+
 /// Record below [`roster`].
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct RosterRecord {
--- a/src/store/limiter.rs
+++ b/src/store/limiter.rs
@@ -34,18 +34,27 @@
         self.at = now;
     }
 
-    /// Whether `amount` can be had now.
-    pub fn has(&mut self, amount: f64, now: Instant) -> bool {
-        self.refill(now);
-        self.level >= amount.min(self.rate.max(1.0))
-    }
-
     /// Takes `amount`, going below zero where it has to.
     pub fn take(&mut self, amount: f64, now: Instant) {
         self.refill(now);
         self.level -= amount;
     }
 
+    /// What is in it.
+    pub fn level(&mut self, now: Instant) -> f64 {
+        self.refill(now);
+        self.level
+    }
+
+    /// Time until `amount` will have gone through, with nothing else in its way.
+    pub fn wait_beyond(&mut self, amount: f64, now: Instant) -> Duration {
+        self.refill(now);
+        if self.rate <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(((amount - self.level) / self.rate).max(0.0))
+    }
+
     /// Time until `amount` can be had.
     pub fn wait(&mut self, amount: f64, now: Instant) -> Duration {
         self.refill(now);
@@ -89,6 +98,19 @@
         }
     }
 
+    /// Time until so many requests and changes may go; nothing if they may go now.
+    pub fn wait(&mut self, requests: f64, writes: f64, now: Instant) -> Option<Duration> {
+        let requests = self.requests.wait(requests, now);
+        let wait = requests.max(self.writes.wait(writes, now));
+        (!wait.is_zero()).then_some(wait)
+    }
+
+    /// Takes from both.
+    pub fn take(&mut self, requests: f64, writes: f64, now: Instant) {
+        self.requests.take(requests, now);
+        self.writes.take(writes, now);
+    }
+
     fn part(nodes: usize, leading: bool) -> f64 {
         let others = nodes.saturating_sub(1);
         if others == 0 {
@@ -117,10 +139,11 @@
         let start = Instant::now();
         let mut bucket = Bucket::new(10.0, start);
         bucket.take(10.0, start);
-        assert!(!bucket.has(1.0, start));
         assert_eq!(bucket.wait(5.0, start), Duration::from_millis(500));
-        assert!(bucket.has(5.0, start + Duration::from_millis(500)));
-        assert!(!bucket.has(6.0, start + Duration::from_millis(500)));
+        assert_eq!(bucket.wait_beyond(25.0, start), Duration::from_millis(2500));
+        let later = start + Duration::from_millis(500);
+        assert_eq!(bucket.wait(5.0, later), Duration::ZERO);
+        assert!(bucket.wait(6.0, later) > Duration::ZERO);
     }
 
     #[test]
--- /dev/null
+++ b/src/store/looks.rs
@@ -0,0 +1,257 @@
+//! The watch that keeps the replica up to date, and the looks that questions wait for.
+//!
+//! A question is answered from the replica once a look that was sent after the question came has
+//! been answered: the look brings all changes up to then, so nothing that any node has told
+//! before is unknown here. One look serves all questions that wait, however many, so they cost
+//! the state service nothing each.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{select, Either};
+use tokio::sync::{oneshot, Notify};
+use tracing::{debug, info};
+
+use super::actor::{CheckAnswer, Inner, CONDITIONS_PER_OP, WATCH_GRACE, WATCH_HOLD};
+use super::{keys, Condition, Follow, Group, Outcome, Row, StoreError};
+use crate::model::JobId;
+
+/// Pause between two looks, so that questions gather instead of costing a request each.
+const LOOK_PAUSE: Duration = Duration::from_millis(120);
+/// A look without an answer by then has failed; a user waits two seconds.
+const LOOK_LIMIT: Duration = Duration::from_millis(1200);
+/// Pause between two openings of the watch; changes gather meanwhile.
+const WATCH_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a failed request to the service.
+const FAILURE_PAUSE: Duration = Duration::from_millis(250);
+
+type Replies = Vec<oneshot::Sender<CheckAnswer>>;
+
+/// Questions that wait for a look.
+#[derive(Default)]
+pub(super) struct Asking {
+    waiting: RefCell<BTreeMap<JobId, Replies>>,
+    came: Notify,
+}
+
+impl Asking {
+    /// One more; its number is bounded by the users' connections.
+    pub(super) fn ask(&self, id: JobId) -> oneshot::Receiver<CheckAnswer> {
+        let (reply, answer) = oneshot::channel();
+        self.waiting.borrow_mut().entry(id).or_default().push(reply);
+        self.came.notify_one();
+        answer
+    }
+
+    fn any(&self) -> bool {
+        !self.waiting.borrow().is_empty()
+    }
+
+    fn take(&self) -> BTreeMap<JobId, Replies> {
+        std::mem::take(&mut self.waiting.borrow_mut())
+    }
+}
+
+fn answer(replies: Replies, with: &CheckAnswer) {
+    for reply in replies {
+        // Whoever asked may have gone.
+        let _ = reply.send(with.clone());
+    }
+}
+
+/// Keeps the replica up to date and answers questions, for as long as the process lives.
+pub(super) async fn watch(inner: Rc<Inner>) {
+    let mut loaded = false;
+    loop {
+        let result = if !loaded {
+            load(&inner).await
+        } else if inner.asking.any() {
+            look(&inner).await
+        } else {
+            wait_for_changes(&inner).await
+        };
+        match result {
+            Ok(pause) => {
+                loaded = true;
+                actix::clock::sleep(pause).await;
+            }
+            Err(error) => {
+                loaded &= error != StoreError::TooOld;
+                debug!(%error, "watch");
+                refuse_questions(&inner, &error);
+                actix::clock::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Who asks while the service can't be reached is told so at once.
+fn refuse_questions(inner: &Inner, error: &StoreError) {
+    for replies in inner.asking.take().into_values() {
+        answer(replies, &Err(error.clone()));
+    }
+}
+
+/// Stays open until something changes, with looks in between for those who ask meanwhile.
+async fn wait_for_changes(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
+    inner.pace(1.0, 0.0).await;
+    let sent = Instant::now();
+    let mut watch = Box::pin(follow(inner, WATCH_HOLD, WATCH_HOLD + WATCH_GRACE));
+    loop {
+        let came = Box::pin(inner.asking.came.notified());
+        match select(watch, came).await {
+            Either::Left((got, _)) => {
+                match &got {
+                    // A watch's answer proves contact at its end at the earliest.
+                    Ok(_) => inner.note(sent, true),
+                    // In an outage watches stay open; only a look shows it.
+                    Err(StoreError::Unknown) => {}
+                    Err(_) => inner.note(sent, false),
+                }
+                take(inner, &got?);
+                return Ok(WATCH_PAUSE);
+            }
+            Either::Right(((), open)) => {
+                watch = open;
+                while inner.asking.any() {
+                    let pause = look(inner).await?;
+                    actix::clock::sleep(pause).await;
+                }
+            }
+        }
+    }
+}
+
+/// Brings the replica up to date, then answers all who asked before that.
+async fn look(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
+    inner.pace(1.0, 0.0).await;
+    let waiting = inner.asking.take();
+    let sent = Instant::now();
+    let got = follow(inner, Duration::ZERO, LOOK_LIMIT).await;
+    inner.note(sent, got.is_ok());
+    let got = match got {
+        Ok(got) => got,
+        Err(error) => {
+            for replies in waiting.into_values() {
+                answer(replies, &Err(error.clone()));
+            }
+            return Err(error);
+        }
+    };
+    take(inner, &got);
+    let mut unknown = BTreeMap::new();
+    for (id, replies) in waiting {
+        let known = inner.shared.replica.lock().verdict(&id);
+        match known {
+            Some(verdict) => answer(replies, &Ok(verdict)),
+            None => {
+                unknown.insert(id, replies);
+            }
+        }
+    }
+    if !unknown.is_empty() {
+        actix::spawn(seek(inner.clone(), unknown));
+    }
+    Ok(LOOK_PAUSE)
+}
+
+/// Looks for verdicts of which the replica knows nothing, since it lets old ones go: most are of
+/// jobs that never were, and one transaction that only compares says so of many.
+async fn seek(inner: Rc<Inner>, mut unknown: BTreeMap<JobId, Replies>) {
+    while let Some((first, _)) = unknown.first_key_value() {
+        let first = first.clone();
+        let most = inner.limits.txn_ops * CONDITIONS_PER_OP;
+        let later = match unknown.keys().nth(most).cloned() {
+            Some(next) => unknown.split_off(&next),
+            None => BTreeMap::new(),
+        };
+        let batch = std::mem::replace(&mut unknown, later);
+        debug!(%first, jobs = batch.len(), "verdicts to be asked for");
+        let when = batch.keys().map(|id| Condition::new(keys::job(id), 0));
+        let group = Group {
+            when: when.collect(),
+            apply: Vec::new(),
+        };
+        inner.pace(1.0, 0.0).await;
+        let sent = Instant::now();
+        let outcome = inner.client.transact(&group).await;
+        inner.note(sent, !matches!(outcome, Outcome::Failed(_)));
+        let there = match outcome {
+            Outcome::Committed(_) => Ok(Vec::new()),
+            Outcome::Conflict { failed, .. } => Ok(failed),
+            Outcome::Failed(error) => Err(error),
+        };
+        for (id, replies) in batch {
+            let said = match &there {
+                Ok(there) if there.contains(&keys::job(&id)) => read_verdict(&inner, &id).await,
+                Ok(_) => Ok(None),
+                Err(error) => Err(error.clone()),
+            };
+            answer(replies, &said);
+        }
+    }
+}
+
+/// Asks for one verdict.
+async fn read_verdict(inner: &Inner, id: &JobId) -> CheckAnswer {
+    inner.pace(1.0, 0.0).await;
+    let sent = Instant::now();
+    let read = inner.client.get(&keys::job(id)).await;
+    inner.note(sent, read.is_ok());
+    let Some(row) = read? else {
+        return Ok(None);
+    };
+    let record: Option<keys::JobRecord> = super::from_value(&row.value);
+    // A record of no form we know is no sign that there is no such job.
+    let record = record.ok_or_else(|| StoreError::Nonsense("a job's record".to_owned()))?;
+    Ok(Some((record.verdict, record.tasks)))
+}
+
+/// All our keys, and the revision from which a watch has to go on. Every page takes its place
+/// in the limits: all controllers may start at once, each with hundreds of jobs to read.
+async fn read_all(inner: &Inner) -> Result<(Vec<Row>, u64), StoreError> {
+    let mut rows: Vec<Row> = Vec::new();
+    let mut revision = None;
+    loop {
+        let after = rows.last().map(|row| row.key.clone());
+        inner.pace(1.0, 0.0).await;
+        let page = inner.client.page(keys::ROOT, after.as_deref()).await?;
+        // The first page's revision: the watch then brings again what changed meanwhile.
+        let first = *revision.get_or_insert(page.revision);
+        let last = page.rows.is_empty() || !page.more;
+        rows.extend(page.rows);
+        if last {
+            return Ok((rows, first));
+        }
+    }
+}
+
+async fn load(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
+    let sent = Instant::now();
+    let read = read_all(inner).await;
+    inner.note(sent, read.is_ok());
+    let (rows, revision) = read?;
+    info!(keys = rows.len(), revision, "records read");
+    let news = inner.shared.replica.lock().load(rows, revision);
+    inner.shared.revision.send_replace(revision);
+    inner.shared.tell(&news);
+    Ok(Duration::ZERO)
+}
+
+async fn follow(inner: &Rc<Inner>, hold: Duration, limit: Duration) -> Result<Follow, StoreError> {
+    let after = inner.shared.replica.lock().revision;
+    inner.client.follow(keys::ROOT, after, hold, limit).await
+}
+
+/// Takes what a watch or a look brought.
+fn take(inner: &Inner, got: &Follow) {
+    let (news, revision) = {
+        let mut replica = inner.shared.replica.lock();
+        let news = replica.apply(&got.events, got.revision);
+        (news, replica.revision)
+    };
+    inner.shared.revision.send_replace(revision);
+    inner.shared.tell(&news);
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod keys;
 pub mod limiter;
+mod looks;
 pub mod replica;
 
 use serde::{Deserialize, Serialize};
@@ -110,6 +111,20 @@
     pub apply: Vec<Change>,
 }
 
+/// What goes before what, when more is to be written than the limits allow. Within each, first
+/// come, first served.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// The election.
+    Lead,
+    /// What users wait for: verdicts, and what has to be written before starts.
+    High,
+    /// The same for jobs of the lowest rank.
+    Low,
+    /// What nobody waits for.
+    Progress,
+}
+
 /// What became of a group.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Outcome {
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use super::keys::{self, DoneRecord, JobRecord, Key, LeaderRecord, LiveRecord, RosterRecord};
+use super::keys::{
+    self, DoneRecord, JobRecord, Key, LeaderRecord, LiveRecord, RosterRecord, SentRecord,
+};
 use super::{from_value, Event, Row, Value};
 use crate::model::{JobId, Term, Verdict};
 
@@ -36,12 +38,27 @@
     /// Final verdicts kept at most; 0: all. They are kept for ever by the state service, and a
     /// small machine that runs for weeks must not be ended for them.
     most_over: usize,
+    /// Whether any was let go: then not finding a job here says nothing.
+    pub trimmed: bool,
     /// Descriptions.
-    pub live: BTreeMap<JobId, Versioned<LiveRecord>>,
+    pub live: BTreeMap<JobId, Live>,
     /// Completed tasks.
     pub done: BTreeMap<(JobId, usize), Versioned<DoneRecord>>,
     /// Machines that may hold tasks.
     pub roster: BTreeMap<usize, Versioned<RosterRecord>>,
+    /// Where starts may have been sent, by key.
+    pub sent: BTreeMap<String, Versioned<SentRecord>>,
+}
+
+/// A job's description as the records have it.
+#[derive(Debug, Clone)]
+pub struct Live {
+    /// The version of its key.
+    pub version: u64,
+    /// The description.
+    pub record: LiveRecord,
+    /// Whether it has a key of its own, as versions up to 0.3.0 wrote it.
+    pub apart: bool,
 }
 
 impl<T: Default> Default for Versioned<T> {
@@ -97,7 +114,10 @@
     /// Takes what the watch brought.
     pub fn apply(&mut self, events: &[Event], revision: u64) -> Vec<News> {
         let mut news = Vec::new();
-        for event in events {
+        let before = self.revision;
+        // Two requests may bring the same changes, the older answer last: what is in already
+        // must not come again over what came after it.
+        for event in events.iter().filter(|e| e.version > before) {
             let told = match (&event.put, &event.delete, &event.value) {
                 (Some(key), _, Some(value)) => self.put(key, value, event.version),
                 (None, Some(key), _) => self.delete(key, event.version),
@@ -136,6 +156,16 @@
                 if self.jobs.get(&id).is_none_or(|old| old.version < version) {
                     let record = (read.verdict, read.tasks);
                     self.jobs.insert(id.clone(), Versioned { version, record });
+                    if let Some(record) = read.live {
+                        let live = Live {
+                            version,
+                            record,
+                            apart: false,
+                        };
+                        self.live.insert(id.clone(), live);
+                    } else if self.live.get(&id).is_some_and(|live| !live.apart) {
+                        self.live.remove(&id);
+                    }
                     if read.verdict != Verdict::Accepted {
                         self.over.push_back(id.clone());
                         self.trim();
@@ -146,7 +176,12 @@
             Key::Live(id) => {
                 let record: LiveRecord = from_value(value)?;
                 if self.live.get(&id).is_none_or(|old| old.version < version) {
-                    self.live.insert(id.clone(), Versioned { version, record });
+                    let live = Live {
+                        version,
+                        record,
+                        apart: true,
+                    };
+                    self.live.insert(id.clone(), live);
                 }
                 Some(News::Job(id))
             }
@@ -160,6 +195,11 @@
                 self.roster.insert(shard, Versioned { version, record });
                 None
             }
+            Key::Sent(key) => {
+                let record: SentRecord = from_value(value)?;
+                self.sent.insert(key, Versioned { version, record });
+                None
+            }
         }
     }
 
@@ -183,6 +223,10 @@
                 self.roster.remove(&shard);
                 None
             }
+            Key::Sent(key) => {
+                self.sent.remove(&key);
+                None
+            }
             // Verdicts, the term and the settings are never deleted by us.
             Key::Term | Key::Settings | Key::Job(_) => None,
         }
@@ -202,6 +246,7 @@
                 self.over.push_back(oldest);
             } else {
                 self.jobs.remove(&oldest);
+                self.trimmed = true;
             }
         }
     }
@@ -211,9 +256,14 @@
         self.jobs.get(id).map_or(0, |job| job.version)
     }
 
-    /// The version of a job's description; 0: there is none.
-    pub fn live_version(&self, id: &JobId) -> u64 {
-        self.live.get(id).map_or(0, |live| live.version)
+    /// A job's verdict, if it is known here: nothing is known of one that is not, where older
+    /// verdicts were let go.
+    pub fn verdict(&self, id: &JobId) -> Option<Option<(Verdict, u32)>> {
+        match self.jobs.get(id) {
+            Some(job) => Some(Some(job.record)),
+            None if self.trimmed => None,
+            None => Some(None),
+        }
     }
 
     /// The version of a chunk of completed tasks; 0: there is none.
@@ -245,7 +295,7 @@
 
     fn put(replica: &mut Replica, number: u32, verdict: Verdict, version: u64) {
         let id = JobId::parse(&format!("wk-{number:06}")).unwrap();
-        let record = to_value(&JobRecord { verdict, tasks: 1 });
+        let record = to_value(&JobRecord::bare(verdict, 1));
         replica.put(&keys::job(&id), &record, version);
     }
 
--- a/tests/common/scene.rs
+++ b/tests/common/scene.rs
@@ -13,7 +13,7 @@
     Amount, Build, JobId, JobSpec, MachineId, Rank, Shape, Term, Token, Verdict,
 };
 use knotlanding::sched::{self, Decisions, Policy};
-use knotlanding::store::keys::{self, JobRecord, LiveRecord, RosterRecord};
+use knotlanding::store::keys::{self, JobRecord, LiveRecord, RosterRecord, SentRecord};
 use knotlanding::store::replica::Replica;
 use knotlanding::store::{to_value, Outcome, Row, StoreError};
 use knotlanding::wire::{Cause, ListedMachine, Order, Report, ReportedTask, TaskPhase};
@@ -24,6 +24,8 @@
     pub policy: Policy,
     pub cluster: Cluster,
     pub records: Vec<(String, knotlanding::store::Value)>,
+    /// Records written over, so that versions only grow.
+    pub rewritten: u64,
     pub now: Instant,
     pub start: Instant,
     pub seq: u64,
@@ -130,6 +132,7 @@
             ),
             settings,
             records,
+            rewritten: 0,
             now: start,
             start,
             seq: 0,
@@ -155,7 +158,7 @@
         let rows = rows.map(|(at, (key, value))| Row {
             key: key.clone(),
             value: value.clone(),
-            version: at as u64 + 1,
+            version: at as u64 + 1 + self.rewritten,
         });
         let mut replica = Replica::default();
         replica.load(rows.collect(), self.records.len() as u64);
@@ -163,7 +166,9 @@
     }
 
     pub fn record(&mut self, key: String, value: knotlanding::store::Value) {
+        let before = self.records.len();
         self.records.retain(|(known, _)| *known != key);
+        self.rewritten += (before - self.records.len()) as u64;
         self.records.push((key, value));
     }
 
@@ -193,9 +198,11 @@
     pub fn cancel(&mut self, id: &str) {
         self.note(&format!("cancelled by its user: {id}"));
         let id = JobId::parse(id).unwrap();
+        let live = self.replica().live.get(&id).map(|live| live.record.clone());
         let record = JobRecord {
             verdict: Verdict::Cancelled,
             tasks: 1,
+            live,
         };
         self.record(keys::job(&id), to_value(&record));
         self.sync(&id);
@@ -255,7 +262,7 @@
 
     pub fn write(&mut self, works: bool) {
         let replica = self.replica();
-        for write in self.cluster.due_writes(&replica) {
+        for write in self.cluster.due_writes(&replica, self.now) {
             let outcome = if works {
                 self.revision += 1;
                 Outcome::Committed(self.revision)
@@ -263,9 +270,12 @@
                 Outcome::Failed(StoreError::Refused(503))
             };
             let what = match &write.kind {
-                RecordKind::Started(id, Sent::Anywhere) => format!("{id} started, anywhere"),
-                RecordKind::Started(id, Sent::Hosts(hosts)) => {
-                    format!("{id} started, on {hosts:?} at most")
+                RecordKind::Sent(_, jobs) => {
+                    let each = jobs.iter().map(|(id, sent)| match sent {
+                        Sent::Anywhere => format!("{id} anywhere"),
+                        Sent::Hosts(hosts) => format!("{id} to {hosts:?} at most"),
+                    });
+                    format!("starts: {}", each.collect::<Vec<_>>().join("; "))
                 }
                 RecordKind::Done(id, chunk, bits) => format!("{id} done chunk {chunk} = {bits}"),
                 RecordKind::Finished(id) => format!("{id} is done"),
@@ -404,16 +414,43 @@
 
 pub fn accepted(spec: &JobSpec, started: bool) -> Vec<(String, knotlanding::store::Value)> {
     let submitted = wall().duration_since(SystemTime::UNIX_EPOCH);
+    let live = LiveRecord {
+        spec: spec.clone(),
+        submitted_ms: submitted.unwrap().as_millis() as u64,
+        started: false,
+        hosts: None,
+    };
     let job = JobRecord {
         verdict: Verdict::Accepted,
         tasks: spec.tasks,
+        live: Some(live),
     };
+    let mut records = vec![(keys::job(&spec.id), to_value(&job))];
+    if started {
+        records.push(sent(&spec.id, None));
+    }
+    records
+}
+
+/// A list that says where starts of a job may have been sent.
+pub fn sent(id: &JobId, hosts: Option<&[&str]>) -> (String, knotlanding::store::Value) {
+    let hosts = hosts.map(|hosts| hosts.iter().map(|host| (*host).to_owned()).collect());
+    let record = SentRecord {
+        jobs: vec![(id.clone(), hosts)],
+    };
+    let number: u32 = id.as_str()[3..].parse().unwrap();
+    (keys::sent(Term(0), number), to_value(&record))
+}
+
+/// The same job as version 0.3.0 wrote it down.
+pub fn accepted_apart(spec: &JobSpec, hosts: &[&str]) -> Vec<(String, knotlanding::store::Value)> {
     let live = LiveRecord {
         spec: spec.clone(),
-        submitted_ms: submitted.unwrap().as_millis() as u64,
-        started,
-        hosts: None,
+        submitted_ms: 0,
+        started: true,
+        hosts: Some(hosts.iter().map(|host| (*host).to_owned()).collect()),
     };
+    let job = JobRecord::bare(Verdict::Accepted, spec.tasks);
     vec![
         (keys::job(&spec.id), to_value(&job)),
         (keys::live(&spec.id), to_value(&live)),
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -193,16 +193,16 @@
     let mut s = Scene::new();
     s.report("m-g1n", &[]);
     let replica = s.replica();
-    let lost = s.cluster.due_writes(&replica).remove(0);
+    let lost = s.cluster.due_writes(&replica, s.now).remove(0);
     s.cluster
         .written(&lost.kind, &Outcome::Failed(StoreError::Unknown));
     s.report("m-g2n", &[]);
-    let again = s.cluster.due_writes(&replica).remove(0);
+    let again = s.cluster.due_writes(&replica, s.now).remove(0);
     s.cluster.written(&again.kind, &Outcome::Committed(7));
     // Both ask for the shard as it was: whichever is applied first, the other one fails.
     assert_eq!(lost.group.when, again.group.when);
     s.report("m-g3n", &[]);
-    let next = s.cluster.due_writes(&replica).remove(0);
+    let next = s.cluster.due_writes(&replica, s.now).remove(0);
     assert_eq!(
         next.group.when[0].version, 7,
         "and the next one builds on what was written"
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -8,8 +8,6 @@
 use knotlanding::cluster::Verified;
 use knotlanding::model::*;
 use knotlanding::peer::Told;
-use knotlanding::store::keys::{self, LiveRecord};
-use knotlanding::store::to_value;
 use knotlanding::wire::{Cause, TaskPhase};
 use scene::*;
 
@@ -301,16 +299,9 @@
     let mut records = accepted(&array("wk-000001", 1), true);
     records.extend(accepted(&gang("wk-000002", 1), true));
     // The record of the second job names where it may be.
-    let id = JobId::parse("wk-000002").unwrap();
-    let mut live = LiveRecord {
-        spec: gang("wk-000002", 1),
-        submitted_ms: 0,
-        started: true,
-        hosts: Some(vec!["m-c1n".to_owned()]),
-    };
     records.pop();
-    records.push((keys::live(&id), to_value(&live)));
-    live.spec.id = JobId::parse("wk-000003").unwrap();
+    let id = JobId::parse("wk-000002").unwrap();
+    records.push(sent(&id, Some(&["m-c1n"])));
     records.push(roster(&["m-c1n", "m-c2n", "m-c3n", "m-g1n"]));
     let mut s = Scene::with(records);
     s.listed(&["m-c1n", "m-c2n", "m-c3n", "m-g1n"]);
@@ -691,3 +682,50 @@
         assert!(s.log.contains(name), "it is given up: {}", s.log);
     }
 }
+
+/// Records of 0.3.0 have a key for the description, and say in it where the job may be.
+#[test]
+fn records_of_the_version_before_are_read_and_go_with_their_job() {
+    let names = ["m-g1n", "m-g2n"];
+    let mut records = accepted_apart(&array("wk-000001", 1), &["m-g1n"]);
+    records.push(roster(&names));
+    let mut s = Scene::with(records);
+    s.listed(&names);
+    s.report("m-g2n", &[]);
+    s.note("it may run on m-g1n, which has not spoken");
+    s.round();
+    s.report("m-g1n", &[("wk-000001/0", 7, RUNNING, None)]);
+    s.report("m-g1n", &[("wk-000001/0", 7, EXITED, Some(Cause::Done))]);
+    let replica = s.replica();
+    let writes = s.cluster.due_writes(&replica, s.now);
+    let all: Vec<String> = writes
+        .iter()
+        .flat_map(|write| &write.group.apply)
+        .map(|change| change.key().to_owned())
+        .collect();
+    s.note(&format!("its end writes {all:?}"));
+    insta::assert_snapshot!(s.log);
+}
+
+/// Seen while lists of starts were new: deletes that were given up kept lists from being written,
+/// and what had lost its machine never started again.
+#[test]
+fn lists_that_nobody_needs_do_not_keep_starts_from_being_written() {
+    let lists = (100..150).map(|n| sent(&JobId::parse(&format!("wk-{n:06}")).unwrap(), None));
+    let mut s = Scene::with(lists.collect());
+    s.machines(&["m-g1n"]);
+    for number in 1..=8u64 {
+        let id = format!("wk-{number:06}");
+        s.submit(array(&id, 1));
+        s.log.clear();
+        s.round();
+        assert!(s.log.contains(&format!("starts: {id}")), "{}", s.log);
+        s.report("m-g1n", &[]);
+        let task = format!("{id}/0");
+        let done = (&*task, FIRST + number - 1, EXITED, Some(Cause::Done));
+        s.report("m-g1n", &[done]);
+        s.round();
+        assert!(s.log.contains(&format!("{id} is done")), "{}", s.log);
+        s.report("m-g1n", &[]);
+    }
+}
