--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -190,6 +190,8 @@
         };
     }
     let tasks = spec.tasks;
+    debug!(job = %id, class = %spec.class, team = %spec.team, rank = ?spec.rank, tasks,
+        need = ?spec.need, "submitted");
     let submitted_ms = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64);
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -449,6 +449,9 @@
     }
     for (id, why) in &decisions.waits {
         if let Some(job) = cluster.jobs.get_mut(id) {
+            if job.waits_for != *why {
+                tracing::debug!(job = %id, why, "waits");
+            }
             job.waits_for = why;
         }
     }
