Workers' knocks reach a leader that its peers can't: by a record of its own

The record costs at most one change in 2.5 s a node, and only while no digest arrives and workers knock.

--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -11,7 +11,10 @@
 
 use crate::model::Term;
 use crate::peer::{self, Digest};
-use crate::service::{Neighbours, Said, Shared};
+use crate::service::{Neighbours, Said, Shared, MANY_KNOCKS};
+use crate::store::actor::{Commit, StoreActor};
+use crate::store::keys::{self, KnocksRecord};
+use crate::store::{to_value, Change, Group, Urgency};
 
 /// Time between two digests. The counts in them are for display.
 const TELL_EVERY: Duration = Duration::from_secs(1);
@@ -21,8 +24,16 @@
 /// Looks further apart than that: the process stood still.
 const STOOD_STILL: Duration = Duration::from_millis(2500);
 
+/// How long digests of a leader have to be missing before workers' knocks are told through the
+/// state service, which a leader that is not cut off from it still reads.
+const DIGESTS_MISSED: Duration = Duration::from_secs(3);
+/// Time between two such records of one node, so that all of them together cost a change or two
+/// a second.
+const KNOCKS_EVERY: Duration = Duration::from_millis(2500);
+
 /// A peer as far as digests go.
 struct Peer {
+    member: String,
     address: std::net::SocketAddrV4,
     /// It said that it lacks what changes build on.
     lacks: Arc<AtomicBool>,
@@ -31,28 +42,34 @@
 /// The actor.
 pub struct PeersActor {
     shared: Arc<Shared>,
+    store: Addr<StoreActor>,
     http: Client,
     peers: Vec<Peer>,
     term: Term,
     number: u64,
     last: Instant,
+    /// What was last written of the workers that knock here, and when.
+    written: (u64, Instant),
 }
 
 impl PeersActor {
-    /// Tells the peers through `http`.
-    pub fn new(shared: Arc<Shared>, http: Client) -> Self {
+    /// Tells the peers through `http`, or through `store` what can't reach them.
+    pub fn new(shared: Arc<Shared>, store: Addr<StoreActor>, http: Client) -> Self {
         let known = shared.settings.known.iter();
         let peers = known.map(|peer| Peer {
+            member: peer.member.clone(),
             address: peer.peer_addr,
             lacks: Arc::default(),
         });
         Self {
             peers: peers.collect(),
             shared,
+            store,
             http,
             term: Term(0),
             number: 0,
             last: Instant::now(),
+            written: (0, Instant::now()),
         }
     }
 }
@@ -71,6 +88,7 @@
             }
             actor.tell();
             actor.ask();
+            actor.write_knocks(now);
         });
     }
 }
@@ -115,6 +133,36 @@
         }
     }
 
+    /// Writes down that workers knock here, where the leader's digests don't arrive: it may have
+    /// lost its workers while the nodes refuse each other's connections, and would keep a lead
+    /// that is of no use to anybody.
+    fn write_knocks(&mut self, now: Instant) {
+        let knocks = self.shared.knocks.load(Ordering::Relaxed);
+        let (written, at) = self.written;
+        let heard = *self.shared.peer_contact.lock();
+        let missed = heard.is_none_or(|at| now.saturating_duration_since(at) > DIGESTS_MISSED);
+        if !missed {
+            self.written = (knocks, at);
+            return;
+        }
+        let leads = self.shared.role.lock().own_term().is_some();
+        let known = self.shared.replica.lock().leader.is_some();
+        let many = knocks >= written + MANY_KNOCKS;
+        let rested = now.saturating_duration_since(at) >= KNOCKS_EVERY;
+        if leads || !known || !many || !rested {
+            return;
+        }
+        self.written = (knocks, now);
+        let key = keys::knocks(&self.shared.settings.member);
+        let record = to_value(&KnocksRecord { knocks });
+        let group = Group {
+            when: Vec::new(),
+            apply: vec![Change::put(key, record)],
+        };
+        // Should it be lost, the next one says the same and more.
+        self.store.do_send(Commit(group, Urgency::High));
+    }
+
     /// Asks the others whether they have the state service, while we don't.
     fn ask(&self) {
         if self.shared.contact.lock().failing_since.is_none() {
@@ -151,7 +199,7 @@
             .content_type(peer::BINCODE)
             .send_body(body);
         let lacks = peer.lacks.clone();
-        let (shared, address) = (self.shared.clone(), peer.address);
+        let (shared, member) = (self.shared.clone(), peer.member.clone());
         actix::spawn(async move {
             // Without an answer nothing is known: the next digest of changes will tell.
             if let Ok(mut answer) = sent.await {
@@ -160,7 +208,7 @@
                 let body = answer.body().await.unwrap_or_default();
                 if let Some(peer::Heard { knocks }) = peer::decode(&body) {
                     let now = Instant::now();
-                    shared.astray.lock().knocked(address, knocks, now);
+                    shared.astray.lock().knocked(&member, knocks, now);
                 }
             }
         });
--- a/src/run.rs
+++ b/src/run.rs
@@ -89,10 +89,10 @@
     .run();
 
     LeaderActor::new(shared.clone(), client, store.clone()).start();
-    RoundActor::new(shared.clone(), store, direct, shortages.clone()).start();
+    RoundActor::new(shared.clone(), store.clone(), direct, shortages.clone()).start();
     let cloud = CloudClient::new(external.cloud, http.clone());
     FleetActor::new(shared.clone(), cloud, shortages).start();
-    PeersActor::new(shared, http).start();
+    PeersActor::new(shared, store, http).start();
 
     info!(member, %public_addr, %peer_bind, "serving");
     futures_util::future::try_join(public, peers).await?;
--- a/src/service.rs
+++ b/src/service.rs
@@ -4,7 +4,6 @@
 //! an await, and nothing is sent, written or encoded under them.
 
 use std::collections::HashMap;
-use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
@@ -105,21 +104,21 @@
 /// Workers that knock at other nodes while we lead: they are up and don't get through to us.
 #[derive(Debug, Default)]
 pub struct Astray {
-    counts: HashMap<SocketAddrV4, u64>,
+    counts: HashMap<String, u64>,
     last: Option<Instant>,
 }
 
 /// Knocks at one node between two digests that are no chance: a worker that has just come up
 /// asks any node once.
-const MANY_KNOCKS: u64 = 5;
+pub const MANY_KNOCKS: u64 = 5;
 /// How long such knocks are remembered: workers that wait for our answer in vain knock again
 /// after that and a second.
 const KNOCKS_KEPT: Duration = Duration::from_secs(6);
 
 impl Astray {
     /// A node says how many workers it has sent elsewhere so far.
-    pub fn knocked(&mut self, node: SocketAddrV4, knocks: u64, now: Instant) {
-        let before = self.counts.insert(node, knocks);
+    pub fn knocked(&mut self, member: &str, knocks: u64, now: Instant) {
+        let before = self.counts.insert(member.to_owned(), knocks);
         // A lower count comes from a new life of the node.
         let more = before.map_or(0, |before| knocks.saturating_sub(before));
         if more >= MANY_KNOCKS {
@@ -337,6 +336,9 @@
                     let settings: OperatorSettings = read.unwrap_or_default();
                     *self.operator.lock() = settings;
                 }
+                News::Knocks(member, knocks) => {
+                    self.astray.lock().knocked(member, *knocks, now);
+                }
                 News::Job(id) => {
                     jobs = true;
                     if let Some(cluster) = self.cluster.lock().as_mut() {
@@ -418,16 +420,16 @@
     fn many_knocks_at_one_node_are_remembered_for_a_while_and_a_restart_of_it_is_none() {
         let start = Instant::now();
         let at = |s: u64| start + Duration::from_secs(s);
-        let node = |n: u8| SocketAddrV4::new([10, 0, 0, n].into(), 8081);
+        let node = |n: u8| format!("knot-{n}");
         let mut astray = Astray::default();
-        astray.knocked(node(1), 900, at(0));
+        astray.knocked(&node(1), 900, at(0));
         assert!(!astray.lately(at(0)), "no count before to compare with");
-        astray.knocked(node(1), 902, at(1));
-        astray.knocked(node(2), 3, at(1));
+        astray.knocked(&node(1), 902, at(1));
+        astray.knocked(&node(2), 3, at(1));
         assert!(!astray.lately(at(1)), "a few");
-        astray.knocked(node(2), 0, at(2));
+        astray.knocked(&node(2), 0, at(2));
         assert!(!astray.lately(at(2)), "a new life counts from zero");
-        astray.knocked(node(1), 902 + MANY_KNOCKS, at(3));
+        astray.knocked(&node(1), 902 + MANY_KNOCKS, at(3));
         assert!(astray.lately(at(4)));
         assert!(!astray.lately(at(3) + KNOCKS_KEPT));
     }
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -21,6 +21,7 @@
 const DONE: &str = "kl/done/";
 const ROSTER: &str = "kl/roster/";
 const SENT: &str = "kl/sent/";
+const KNOCKS: &str = "kl/knocks/";
 
 /// The verdict on a job, kept for ever, and its description while any task of it can be anywhere.
 pub fn job(id: &JobId) -> String {
@@ -47,6 +48,12 @@
     format!("{SENT}{:010}-{number:06}", term.0)
 }
 
+/// How many workers a node has sent elsewhere, told this way where the leader's digests don't
+/// reach the node.
+pub fn knocks(member: &str) -> String {
+    format!("{KNOCKS}{member}")
+}
+
 /// What a key is about.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Key {
@@ -66,6 +73,8 @@
     Roster(usize),
     /// See [`sent`].
     Sent(String),
+    /// See [`knocks`].
+    Knocks(String),
 }
 
 /// Reads a key.
@@ -89,6 +98,9 @@
     if key.starts_with(SENT) {
         return Some(Key::Sent(key.to_owned()));
     }
+    if let Some(member) = key.strip_prefix(KNOCKS) {
+        return Some(Key::Knocks(member.to_owned()));
+    }
     let shard = key.strip_prefix(ROSTER)?;
     shard.parse().ok().map(Key::Roster)
 }
@@ -168,6 +180,13 @@
     pub jobs: Vec<(JobId, Option<Vec<String>>)>,
 }
 
+/// Record below [`knocks`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct KnocksRecord {
+    /// Reports that the node has sent elsewhere since it started.
+    pub knocks: u64,
+}
+
 /// Record below [`roster`].
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct RosterRecord {
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use super::keys::{
-    self, DoneRecord, JobRecord, Key, LeaderRecord, LiveRecord, RosterRecord, SentRecord,
+    self, DoneRecord, JobRecord, Key, KnocksRecord, LeaderRecord, LiveRecord, RosterRecord,
+    SentRecord,
 };
 use super::{from_value, Event, Row, Value};
 use crate::model::{JobId, Term, Verdict};
@@ -79,6 +80,8 @@
     Leader,
     /// Operators' settings changed.
     Settings,
+    /// A node says how many workers it has sent elsewhere.
+    Knocks(String, u64),
 }
 
 impl Replica {
@@ -195,6 +198,10 @@
                 self.roster.insert(shard, Versioned { version, record });
                 None
             }
+            Key::Knocks(member) => {
+                let record: KnocksRecord = from_value(value)?;
+                Some(News::Knocks(member, record.knocks))
+            }
             Key::Sent(key) => {
                 let record: SentRecord = from_value(value)?;
                 self.sent.insert(key, Versioned { version, record });
@@ -227,8 +234,8 @@
                 self.sent.remove(&key);
                 None
             }
-            // Verdicts, the term and the settings are never deleted by us.
-            Key::Term | Key::Settings | Key::Job(_) => None,
+            // These are never deleted by us.
+            Key::Term | Key::Settings | Key::Job(_) | Key::Knocks(_) => None,
         }
     }
 
--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -58,6 +58,7 @@
     changes: Vec<(u64, Value, String)>,
     leases: BTreeMap<u64, (Duration, Instant)>,
     next_lease: u64,
+    requests: usize,
     out: bool,
 }
 
@@ -135,6 +136,23 @@
         kept.leases.values_mut().for_each(|(_, at)| *at = now);
     }
 
+    /// Writes a key, as another controller would.
+    pub fn put(&self, key: &str, value: Value) {
+        let mut kept = self.kept.lock().unwrap();
+        kept.epoch += 1;
+        let epoch = kept.epoch;
+        let event = cbor!({"set" => key, "v" => value, "stamp" => epoch}).unwrap();
+        kept.changes.push((epoch, event, key.to_owned()));
+        kept.keys.insert(key.to_owned(), (value, epoch, 0));
+        drop(kept);
+        self.changed.notify_waiters();
+    }
+
+    /// Requests taken so far.
+    pub fn requests(&self) -> usize {
+        self.kept.lock().unwrap().requests
+    }
+
     /// A key's value.
     pub fn get(&self, key: &str) -> Option<Value> {
         let kept = self.kept.lock().unwrap();
@@ -143,6 +161,7 @@
 
     fn open(&self) -> Result<std::sync::MutexGuard<'_, Kept>, Box<HttpResponse>> {
         let mut kept = self.kept.lock().unwrap();
+        kept.requests += 1;
         if kept.out {
             return Err(Box::new(HttpResponse::ServiceUnavailable().finish()));
         }
@@ -287,9 +306,12 @@
     };
     let until = Instant::now() + Duration::from_millis(get("holdMs"));
     let under = query.get("under").cloned().unwrap_or_default();
+    let mut first = true;
     loop {
         {
             let mut kept = state.kept.lock().unwrap();
+            kept.requests += usize::from(first);
+            first = false;
             if !kept.out {
                 kept.expire();
                 let events: Vec<Value> = kept
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -296,6 +296,60 @@
     assert_eq!(bench.cloud.ran_twice(), 0);
 }
 
+/// A leader that has lost its workers while the nodes refuse each other's connections hears of
+/// their knocks by no digest: the node they knock at writes it down where the leader reads it.
+#[actix_web::test]
+async fn a_node_that_no_digest_reaches_writes_down_that_workers_knock() {
+    let bench = Bench::new("knocks");
+    let leader = cbor!({
+        "member" => "knot-9", "address" => "127.0.0.1:1", "term" => 3, "lease" => 99
+    });
+    bench.state.put("kl/leader", leader.unwrap());
+    let node = bench.start();
+    let report = cbor!({
+        "host" => "m-000001", "address" => "127.0.0.1:9", "build" => "cpu16", "yard" => "north",
+        "loaners" => false, "tenure" => 1, "tally" => 1, "baton" => 0, "strands" => Vec::<Value>::new()
+    });
+    let report = encode(&report.unwrap());
+    let began = Instant::now();
+    let written = loop {
+        let (status, body, _) = node.post("/hello", report.clone()).await;
+        if status == 421 {
+            assert_eq!(text(&body, "answerTo"), "knot-9");
+        }
+        if let Some(written) = bench.state.get("kl/knocks/knot-0") {
+            break written;
+        }
+        assert!(began.elapsed() < PATIENCE, "it is never written");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    };
+    assert!(number(&written, "knocks") >= 5, "{written:?}");
+}
+
+/// Users asked eight times as often, and each question was a condition in a transaction.
+#[actix_web::test]
+async fn questions_that_come_together_share_a_look_at_the_state_service() {
+    let bench = Bench::new("storm");
+    let node = bench.start();
+    // It needs more machines than there are: it stays unfinished.
+    node.accept(&job("wk-000900", "array", 5000, 16.0)).await;
+    let before = bench.state.requests();
+    let asked = 400;
+    let (known, unknown): (Vec<_>, Vec<_>) = {
+        let known = (0..asked / 2).map(|_| node.poll("wk-000900"));
+        let unknown = (0..asked / 2).map(|_| node.poll("wk-000999"));
+        futures_util::future::join(
+            futures_util::future::join_all(known),
+            futures_util::future::join_all(unknown),
+        )
+        .await
+    };
+    assert!(known.iter().all(|(status, _)| *status == 200));
+    assert!(unknown.iter().all(|(status, _)| *status == 404));
+    let cost = bench.state.requests() - before;
+    assert!(cost < asked / 4, "{cost} requests for {asked} questions");
+}
+
 /// A process of little memory keeps few verdicts at hand; of the others it asks.
 #[actix_web::test]
 async fn a_job_over_long_ago_stays_known_to_a_process_that_keeps_few_verdicts() {
