--- a/src/cluster/job.rs
+++ b/src/cluster/job.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use super::done::DoneSet;
+use super::faults::Suspicion;
 use super::machine::Durable;
 use super::ImageId;
 use crate::model::{Attempt, JobSpec, MachineId, Shape, Verdict};
@@ -106,6 +107,8 @@
     pub rests_until: Option<Instant>,
     /// Machines on which its tasks failed.
     pub failed_on: BTreeSet<MachineId>,
+    /// It fails everywhere, as far as can be seen, and is tried now and then only.
+    pub suspicion: Option<Suspicion>,
     /// A write of its records is under way.
     pub writing: bool,
     /// Whether versions up to 0.3.0 wrote it down, with a key for its description.
--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::faults::Blame;
 use super::{ImageId, KindId};
 use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId, Token};
 use crate::wire::Cause;
@@ -220,7 +221,7 @@
     /// A return is under way.
     pub returning: bool,
     /// Jobs whose tasks failed on it since the last that completed.
-    pub blame: Vec<JobId>,
+    pub blame: Vec<Blame>,
     /// Run time over estimate of the last task of each of the last few jobs on it.
     pub paces: Vec<(JobId, f64)>,
     /// Takes no new tasks until then.
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -7,6 +7,7 @@
 
 mod commands;
 pub mod done;
+mod faults;
 mod intern;
 pub mod job;
 pub mod machine;
@@ -20,6 +21,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 pub use commands::Direct;
+pub use faults::{Blame, Suspicion};
 pub use intern::{ImageId, Images, Kind, KindId, Kinds};
 pub use job::{Job, Place, Sent};
 pub use machine::{Drain, Durable, Hearing, Listed, Machine, Phase, Slot, SlotId, Stop};
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -11,11 +11,6 @@
 use crate::model::{Attempt, JobId, MachineId, TaskId, Token, Verdict};
 use crate::wire::{Cause, Order, Report, TaskPhase};
 
-/// Distinct jobs that fail on a machine before it is given up. One job alone may be at fault
-/// itself.
-const JOBS_TO_BLAME: usize = 2;
-/// Machines on which a job fails before the job is blamed and no machine.
-const MACHINES_TO_BLAME: usize = 3;
 /// Jobs of which a machine's pace is compared with the others'.
 const JOBS_TO_COMPARE: usize = 3;
 /// A machine this much slower than the median, for all of them, is given up.
@@ -23,10 +18,6 @@
 /// Tasks anywhere whose pace is remembered, and how many there must be for a judgement.
 const PACES_KEPT: usize = 60;
 const PACES_TO_JUDGE: usize = 15;
-/// How long a machine rests after a failure, so that a faulty one does not draw all tasks.
-const REST_AFTER_FAILURE_S: f64 = 10.0;
-/// How long a job rests after a failure, for every machine it failed on.
-const REST_AFTER_FAULT_S: f64 = 15.0;
 /// How long a task waits after a refused start, until the picture is right again.
 const REST_AFTER_REFUSAL_S: f64 = 3.0;
 
@@ -360,9 +351,7 @@
                 if let Some(job) = self.jobs.get_mut(job_id) {
                     job.done.insert(slot.task.index);
                 }
-                if let Some(machine) = self.machines.get_mut(id) {
-                    machine.blame.clear();
-                }
+                self.succeeded(id, job_id);
                 self.note_pace(id, slot, now);
             }
             Cause::Error => self.failed(id, job_id, now),
@@ -372,7 +361,9 @@
                     job.rests_until = Some(now + secs(REST_AFTER_REFUSAL_S));
                 }
             }
-            Cause::Stopped | Cause::MatesGone | Cause::Alone | Cause::Other => {}
+            // Of a gang with a mistake every member fails; what only goes with another was fine.
+            Cause::MatesGone => self.prove(job_id),
+            Cause::Stopped | Cause::Alone | Cause::Other => {}
         }
     }
 
@@ -412,39 +403,6 @@
         }
     }
 
-    fn failed(&mut self, id: &MachineId, job_id: &JobId, now: Instant) {
-        let Some(job) = self.jobs.get_mut(job_id) else {
-            return;
-        };
-        job.failed_on.insert(id.clone());
-        let machines = job.failed_on.len();
-        if machines >= MACHINES_TO_BLAME {
-            // Its user made a mistake; it goes on being tried, ever more rarely.
-            job.rests_until = Some(now + secs(REST_AFTER_FAULT_S * machines as f64));
-            let failed_on = job.failed_on.clone();
-            for machine in failed_on {
-                if let Some(machine) = self.machines.get_mut(&machine) {
-                    machine.blame.retain(|blamed| blamed != job_id);
-                    if machine.drain == Some(Drain::Sick) && machine.blame.is_empty() {
-                        machine.drain = None;
-                    }
-                }
-            }
-            return;
-        }
-        let Some(machine) = self.machines.get_mut(id) else {
-            return;
-        };
-        if !machine.blame.contains(job_id) {
-            machine.blame.push(job_id.clone());
-        }
-        machine.rests_until = Some(now + secs(REST_AFTER_FAILURE_S));
-        if machine.blame.len() >= JOBS_TO_BLAME && machine.drain.is_none() {
-            warn!(machine = %id, jobs = ?machine.blame, "tasks of several jobs fail here");
-            machine.drain = Some(Drain::Sick);
-        }
-    }
-
     /// Notes that a machine gets a 200 of ours, whatever it is told: its lease may be renewed.
     /// The token it is answered with.
     pub fn touch(&mut self, id: &MachineId, now: Instant) -> Token {
--- a/src/cluster/sync.rs
+++ b/src/cluster/sync.rs
@@ -93,6 +93,7 @@
             claim: None,
             rests_until: None,
             failed_on: BTreeSet::new(),
+            suspicion: None,
             writing: false,
             apart: live.apart,
             progress_at: None,
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -26,6 +26,9 @@
 /// the reports that show it, for the slowest of its machines.
 const CLAIM_LASTS: Duration = Duration::from_secs(20);
 
+/// Why a suspected job waits that could be tried now.
+const TRIAL_ROOM: &str = "room for a trial, since it fails everywhere";
+
 /// A class that may take this many boots to start can wait for one: for it to be late, for its
 /// image, and for room.
 const BOOTS_TO_SPARE: u32 = 3;
@@ -247,7 +250,10 @@
         let why = if cluster.blocked(job) {
             Some("machines of an earlier term to report")
         } else if job.rests_until.is_some_and(|until| now < until) {
-            Some("its rest after a failure")
+            Some(match job.suspected() {
+                true => "its next trial, since it fails everywhere",
+                false => "its rest after a failure",
+            })
         } else if job.stopping {
             Some("its tasks to stop")
         } else {
@@ -335,6 +341,11 @@
         });
         return;
     }
+    if job.suspected() {
+        // Nothing is kept, stopped or rented for it.
+        decisions.waits.push((id.clone(), TRIAL_ROOM));
+        return;
+    }
     let age = now.saturating_duration_since(job.submitted);
     let claim = job.claim.as_ref().filter(|(_, until)| now < *until);
     if let Some((zone, _)) = claim {
@@ -369,7 +380,13 @@
     let policy = view.policy;
     let job = entry.job;
     let id = &job.spec.id;
-    let missing: Vec<u32> = job.pending().take(MOST_STARTS_A_JOB).collect();
+    let most = match (job.suspected(), job.placed()) {
+        (false, _) => MOST_STARTS_A_JOB,
+        // One task tells whether it still fails.
+        (true, false) => 1,
+        (true, true) => 0,
+    };
+    let missing: Vec<u32> = job.pending().take(most).collect();
     if missing.is_empty() {
         return;
     }
@@ -398,7 +415,11 @@
         });
     }
     let waiting = (allowed - placed) as u32;
-    if waiting > 0 && found.deferred >= waiting {
+    if job.suspected() {
+        if waiting > 0 {
+            decisions.waits.push((id.clone(), TRIAL_ROOM));
+        }
+    } else if waiting > 0 && found.deferred >= waiting {
         decisions
             .waits
             .push((id.clone(), "a place with its image to come free"));
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -84,8 +84,12 @@
     for job in jobs {
         let sum = sums.entry(job.spec.team.as_str()).or_default();
         let unfinished = job.spec.tasks - job.done.len();
-        sum.add(&job.spec.need.times(unfinished));
-        let within = policy.claims(&job.spec.team, &job.spec.need)
+        // What fails everywhere holds no guarantee against work that doesn't.
+        if !job.suspected() {
+            sum.add(&job.spec.need.times(unfinished));
+        }
+        let within = !job.suspected()
+            && policy.claims(&job.spec.team, &job.spec.need)
             && policy.within_guarantee(&job.spec.team, sum);
         if within {
             guaranteed.insert(&job.spec.id);
@@ -112,18 +116,19 @@
     }
 }
 
-/// First what has waited for too long, oldest first; then what is guaranteed; then what can
+/// Last what fails everywhere. First what has waited for too long, oldest first; then what is guaranteed; then what can
 /// still meet most of its aims, the least work first.
-type Key = (Reverse<Rank>, bool, bool, usize, Duration, Instant);
+type Key = (bool, Reverse<Rank>, bool, bool, usize, Duration, Instant);
 
 fn key(entry: &Entry, contested: bool, now: Instant) -> Key {
     let job = entry.job;
     let age = now.saturating_duration_since(job.submitted);
-    if overdue(job, age) {
+    if overdue(job, age) && !job.suspected() {
         let rank = Reverse(job.spec.rank);
-        return (rank, false, false, 0, Duration::ZERO, job.submitted);
+        return (false, rank, false, false, 0, Duration::ZERO, job.submitted);
     }
     (
+        job.suspected(),
         Reverse(job.spec.rank),
         true,
         contested && !entry.guaranteed,
