Idle-time work keeps off machines that cost many times what it needs

Ruled out: the swarm (its tasks need 13 machines), boots, images. Now a type whose room costs more than three times the least is not for the lowest rank, but for the first task of a job that nothing of has begun for two minutes; and without an aim nothing above 1.5 times the least price is rented for it.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -113,9 +113,9 @@
         cluster,
         policy,
         short,
-        market,
         thrift,
         now,
+        ..
     } = *look;
     let mut actions = Vec::new();
     let lost = lost::machines(cluster, now);
@@ -124,7 +124,7 @@
     for (id, why) in lost {
         by_reason.entry(why).or_default().push(id);
     }
-    let mut planner = Planner::new(cluster, market, &leaving, now);
+    let mut planner = Planner::new(look, &leaving);
     // Who has to start soon is not made to wait for others to finish.
     let (prompt, patient): (Vec<&Short>, Vec<&Short>) = short
         .iter()
@@ -138,7 +138,7 @@
     }
     planner.forget_departures();
     let demand = idle::Demand::of(cluster, now);
-    let kept = planner.keep_spare(policy, &demand, thrift);
+    let kept = planner.keep_spare(&demand, thrift);
     let rents = planner.rents();
     let idle = idle::machines(look, &demand, &kept, &leaving);
     for (id, why) in idle {
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use super::idle::Demand;
-use super::{Market, Offer, Thrift};
+use super::{Look, Offer, Thrift};
 use crate::cluster::{Cluster, Machine};
 use crate::model::{Amount, Build, JobSpec, MachineId};
 use crate::sched::rooms::{Departures, Rooms};
-use crate::sched::{Policy, Short};
+use crate::sched::{worth, Policy, Short};
 
 /// A boot of this many times its nominal time no longer counts on as room to come.
 const LATE_BOOT: f64 = 1.8;
@@ -48,6 +48,7 @@
 /// The plan of one look. Tasks of a job are put by the machine, not one by one.
 pub(super) struct Planner<'a> {
     cluster: &'a Cluster,
+    policy: &'a Policy,
     now: Instant,
     wares: Vec<Ware<'a>>,
     /// Room by ware.
@@ -60,12 +61,14 @@
 
 impl<'a> Planner<'a> {
     /// Room on machines that take tasks, and on machines that boot.
-    pub(super) fn new(
-        cluster: &'a Cluster,
-        market: &Market,
-        leaving: &HashSet<MachineId>,
-        now: Instant,
-    ) -> Self {
+    pub(super) fn new(look: &Look<'a>, leaving: &HashSet<MachineId>) -> Self {
+        let Look {
+            cluster,
+            policy,
+            market,
+            now,
+            ..
+        } = *look;
         let mut wares = Vec::new();
         for build in cluster.catalog().iter() {
             for zone in &build.zones {
@@ -147,6 +150,7 @@
         }
         Self {
             cluster,
+            policy,
             now,
             wares,
             bays,
@@ -196,22 +200,27 @@
                 let offer = &ware.offer;
                 zone.is_none_or(|zone| zone == offer.zone)
                     && spec.allows(&offer.build, &offer.zone, offer.spot)
+                    && !worth::too_dear(spec, ware.build, self.cluster.catalog())
             })
             .map(|(at, ware)| (at, spec.need.count_in(&ware.build.room)))
             .filter(|(_, each)| *each > 0)
             .collect()
     }
 
-    /// Those of them that may be asked for now, cheapest for a task first.
-    fn cheapest(&self, usable: &[(usize, u32)]) -> Vec<(f64, usize, u32)> {
-        let asked = usable.iter().filter(|(at, _)| self.wares[*at].asked);
-        let mut cheapest: Vec<_> = asked
-            .map(|(at, each)| {
-                let ware = &self.wares[*at];
-                let price = ware.build.price_of(ware.offer.spot) / f64::from(*each);
-                (price, *at, *each)
-            })
-            .collect();
+    /// Those of them that may be asked for now and are worth it, cheapest for a task first.
+    fn cheapest(&self, spec: &JobSpec, usable: &[(usize, u32)]) -> Vec<(f64, usize, u32)> {
+        let priced = usable.iter().map(|(at, each)| {
+            let ware = &self.wares[*at];
+            let price = ware.build.price_of(ware.offer.spot) / f64::from(*each);
+            (price, *at, *each)
+        });
+        let mut cheapest: Vec<_> = priced.collect();
+        let prices = cheapest.iter().map(|(price, ..)| *price);
+        let least = prices.fold(f64::INFINITY, f64::min);
+        let has_aim = self.policy.has_aim(&spec.class);
+        cheapest.retain(|(price, at, _)| {
+            self.wares[*at].asked && !worth::not_worth_renting(spec, has_aim, *price, least)
+        });
         cheapest.sort_by(|a, b| a.0.total_cmp(&b.0));
         cheapest
     }
@@ -248,7 +257,7 @@
             let bays = usable.iter().flat_map(|(at, _)| &self.bays[*at]);
             let there: u32 = bays.map(|bay| spec.need.count_in(&bay.free)).sum();
             let missing = want.tasks.saturating_sub(there);
-            let price = match self.cheapest(&usable).first() {
+            let price = match self.cheapest(spec, &usable).first() {
                 Some((price, ..)) => *price,
                 None if missing == 0 => 0.0,
                 None => continue,
@@ -292,7 +301,7 @@
                     .extend(bay.machine.map(|machine| machine.id.clone()));
             }
         }
-        for (_, at, each) in self.cheapest(&usable) {
+        for (_, at, each) in self.cheapest(spec, &usable) {
             let ware = &self.wares[at];
             let there = bounds.per_zone.entry(ware.offer.zone.clone()).or_default();
             let mut here = left.min(cap - *there);
@@ -319,13 +328,8 @@
     /// Keeps, and rents, room for what may arrive while a machine would boot, for classes
     /// whose jobs have to start sooner than that. Returns all machines that are not to go,
     /// those that jobs wait for included.
-    pub(super) fn keep_spare(
-        &mut self,
-        policy: &Policy,
-        demand: &Demand,
-        thrift: Thrift,
-    ) -> HashSet<MachineId> {
-        let cluster = self.cluster;
+    pub(super) fn keep_spare(&mut self, demand: &Demand, thrift: Thrift) -> HashSet<MachineId> {
+        let (cluster, policy) = (self.cluster, self.policy);
         let window = self
             .now
             .saturating_duration_since(cluster.since)
@@ -341,7 +345,7 @@
         }
         for (_, (tasks, spec)) in classes {
             let usable = self.usable(spec, None);
-            let cheapest = self.cheapest(&usable);
+            let cheapest = self.cheapest(spec, &usable);
             let Some((_, first, _)) = cheapest.first() else {
                 continue;
             };
--- a/src/sched/allocate.rs
+++ b/src/sched/allocate.rs
@@ -3,6 +3,7 @@
 use std::cmp::Ordering;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 
+use super::order::overdue;
 use super::rooms::{Departures, Room, Rooms};
 use super::{zones_of, View};
 use crate::cluster::{ImageId, Job, Phase};
@@ -199,7 +200,13 @@
     } else {
         HashMap::new()
     };
-    let kinds = rooms.kinds_for(spec, zone);
+    let age = asked.view.now.saturating_duration_since(job.submitted);
+    let kinds = if overdue(job, age) {
+        // Whatever it costs, it has to begin.
+        rooms.all_kinds_for(spec, zone)
+    } else {
+        rooms.kinds_for(spec, zone)
+    };
     // A machine on which this job failed gets no second try while others are there.
     let all_failed = rooms.all.len() <= job.failed_on.len();
     let fine = |at: &usize| all_failed || !job.failed_on.contains(&rooms.all[*at].machine.id);
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -5,6 +5,7 @@
 pub mod order;
 pub mod preempt;
 pub mod rooms;
+pub mod worth;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,7 +13,7 @@
 
 use crate::cluster::{Cluster, Job};
 use crate::config::{Settings, TeamSettings};
-use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId};
+use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, Rank, TaskId};
 use allocate::Claim;
 use rooms::{Departures, Rooms};
 
@@ -100,6 +101,13 @@
         within.is_some_and(|within| *within < boot * BOOTS_TO_SPARE)
     }
 
+    /// Whether any aim says when jobs of a class should start or end.
+    pub fn has_aim(&self, class: &str) -> bool {
+        self.aims.contains_key(class)
+            || self.prompt.contains_key(class)
+            || self.deadlines.contains_key(class)
+    }
+
     /// Whether the team may use `sum` at once.
     pub fn within_limit(&self, team: &str, sum: &Amount) -> bool {
         self.teams.get(team).is_some_and(|t| {
@@ -380,7 +388,11 @@
     let policy = view.policy;
     let job = entry.job;
     let id = &job.spec.id;
+    let age = view.now.saturating_duration_since(job.submitted);
+    let late = job.spec.rank == Rank::BestEffort && order::overdue(job, age);
     let most = match (job.suspected(), job.placed()) {
+        // The first one may go where the others would be too dear.
+        (false, _) if late => 1,
         (false, _) => MOST_STARTS_A_JOB,
         // One task tells whether it still fails.
         (true, false) => 1,
--- a/src/sched/order.rs
+++ b/src/sched/order.rs
@@ -139,7 +139,7 @@
 }
 
 /// Whether nothing of a job was ever started although it has waited for long.
-fn overdue(job: &Job, age: Duration) -> bool {
+pub(super) fn overdue(job: &Job, age: Duration) -> bool {
     age >= BEGIN_WITHIN / OLD_PART
         && !job.placed()
         && job.done.is_empty()
--- a/src/sched/rooms.rs
+++ b/src/sched/rooms.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
+use super::worth::too_dear;
 use crate::cluster::{build_named, Cluster, ImageId, Kind, KindId, Machine};
 use crate::model::{Amount, Build, JobSpec};
 
@@ -31,6 +32,7 @@
     /// Which of them are of a kind.
     by_kind: Vec<Vec<u32>>,
     kinds: Vec<(&'a Kind, Option<&'a Build>)>,
+    catalog: &'a [Build],
 }
 
 impl<'a> Rooms<'a> {
@@ -64,11 +66,23 @@
             all,
             by_kind,
             kinds,
+            catalog: cluster.catalog(),
         }
     }
 
-    /// Kinds that a job may use, in one zone or any, whose machines can hold a task of it.
+    /// Kinds that a job may use, in one zone or any, whose machines can hold a task of it and
+    /// are not too dear for it.
     pub fn kinds_for(&self, spec: &JobSpec, zone: Option<&str>) -> Vec<KindId> {
+        let mut kinds = self.all_kinds_for(spec, zone);
+        kinds.retain(|id| {
+            let build = self.kinds[usize::from(id.0)].1;
+            build.is_some_and(|build| !too_dear(spec, build, self.catalog))
+        });
+        kinds
+    }
+
+    /// The same whatever they cost.
+    pub fn all_kinds_for(&self, spec: &JobSpec, zone: Option<&str>) -> Vec<KindId> {
         let numbered = self.kinds.iter().enumerate();
         numbered
             .filter(|(_, (kind, build))| {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -729,3 +729,36 @@
         s.report("m-g1n", &[]);
     }
 }
+
+/// Idle-time work on the processors of machines with cards kept hundreds of them rented, and more
+/// were rented for it: a day's price rose from 2.6 to 3.8.
+#[test]
+fn work_of_the_lowest_rank_keeps_off_machines_that_cost_many_times_what_it_needs() {
+    let mut s = Scene::new();
+    s.machines(&["m-g1n", "m-g2s"]);
+    let mut idle = array("wk-000001", 30);
+    idle.class = "idle".to_owned();
+    idle.rank = Rank::BestEffort;
+    idle.need = Amount {
+        cpus: 4.0,
+        gpus: 0.0,
+        memory: 7.0,
+    };
+    idle.due_s = None;
+    s.submit(idle.clone());
+    let decisions = s.round();
+    s.note("room on machines with cards is not for it; of the others cheap ones are rented");
+    s.fleet(&decisions);
+    s.note("nothing of it has begun for two minutes: one task goes where there is room");
+    s.pass(121.0);
+    s.report("m-g1n", &[]);
+    s.report("m-g2s", &[]);
+    s.round();
+    s.note("standard work of the same size goes there at once");
+    idle.id = JobId::parse("wk-000002").unwrap();
+    idle.rank = Rank::Standard;
+    idle.tasks = 2;
+    s.submit(idle);
+    s.round();
+    insta::assert_snapshot!(s.log);
+}
