Overdue boots are replaced a few at a time

By the code every boot above 1.8 times its nominal time was replaced, and its replacement too, up to what the cloud has. Now a tenth of a kind's machines, four at least, are replaced at once; the others are waited for until they are hopeless. Ruled out: judging by the mean boot (a few that never come say nothing of others).

--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -12,6 +12,10 @@
 
 /// A boot of this many times its nominal time no longer counts on as room to come.
 const LATE_BOOT: f64 = 1.8;
+/// Machines of a kind whose late boots are replaced at once: a part of all that there are of it,
+/// and a few in any case.
+const REPLACED_PART: f64 = 0.1;
+const LEAST_REPLACED: usize = 4;
 /// Standard deviations above the mean of what may arrive while a machine boots.
 const SPARE_DEVIATIONS: f64 = 3.0;
 /// Part of a patient job's slack that may go by in waiting for places to come free; the rest
@@ -45,6 +49,47 @@
     per_zone: HashMap<String, u32>,
 }
 
+/// Machines that boot and are counted on, with the wares they are of. Late ones are replaced, the
+/// longest late first, but only so many at once: where all boots are slow, others would be late
+/// as well.
+fn coming<'a>(
+    cluster: &'a Cluster,
+    leaving: &HashSet<MachineId>,
+    wares: &[Ware],
+    shelf_of: &dyn Fn(&Machine) -> Option<usize>,
+    now: Instant,
+) -> Vec<(usize, &'a Machine)> {
+    let mut coming = Vec::new();
+    let mut late: BTreeMap<usize, Vec<(Duration, &Machine)>> = BTreeMap::new();
+    let mut all: HashMap<usize, usize> = HashMap::new();
+    for machine in cluster.machines.values() {
+        let Some(at) = shelf_of(machine).filter(|_| !leaving.contains(&machine.id)) else {
+            continue;
+        };
+        *all.entry(at).or_default() += 1;
+        let boots = machine.reported.is_none()
+            && !machine.returning
+            && !cluster.unsettled.contains(&machine.id);
+        if !boots {
+            continue;
+        }
+        let age = now.saturating_duration_since(machine.rented);
+        if age <= wares[at].build.boot.mul_f64(LATE_BOOT) {
+            coming.push((at, machine));
+        } else {
+            late.entry(at).or_default().push((age, machine));
+        }
+    }
+    for (at, mut machines) in late {
+        let known = all.get(&at).copied().unwrap_or_default();
+        let replaced = ((known as f64 * REPLACED_PART) as usize).max(LEAST_REPLACED);
+        machines.sort_by_key(|(age, _)| std::cmp::Reverse(*age));
+        let counted = machines.into_iter().skip(replaced);
+        coming.extend(counted.map(|(_, machine)| (at, machine)));
+    }
+    coming
+}
+
 /// The plan of one look. Tasks of a job are put by the machine, not one by one.
 pub(super) struct Planner<'a> {
     cluster: &'a Cluster,
@@ -130,23 +175,12 @@
                 });
             }
         }
-        for machine in cluster.machines.values() {
-            let coming = machine.reported.is_none()
-                && !machine.returning
-                && !cluster.unsettled.contains(&machine.id)
-                && !leaving.contains(&machine.id);
-            let Some(at) = shelf_of(machine).filter(|_| coming) else {
-                continue;
-            };
-            let build = wares[at].build;
-            let age = now.saturating_duration_since(machine.rented);
-            if age <= build.boot.mul_f64(LATE_BOOT) {
-                bays[at].push(Bay {
-                    machine: Some(machine),
-                    free: build.room,
-                    rest_s: None,
-                });
-            }
+        for (at, machine) in coming(cluster, leaving, &wares, &shelf_of, now) {
+            bays[at].push(Bay {
+                machine: Some(machine),
+                free: wares[at].build.room,
+                rest_s: None,
+            });
         }
         Self {
             cluster,
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -6,8 +6,10 @@
 mod scene;
 
 use knotlanding::cluster::Verified;
+use knotlanding::fleet::Offer;
 use knotlanding::model::*;
 use knotlanding::peer::Told;
+use knotlanding::sched::Decisions;
 use knotlanding::wire::{Cause, TaskPhase};
 use scene::*;
 
@@ -762,3 +764,49 @@
     s.round();
     insta::assert_snapshot!(s.log);
 }
+
+/// A boot that is overdue is replaced; a cloud in which all are slow is not answered by renting
+/// without end.
+#[test]
+fn overdue_boots_are_replaced_a_few_at_a_time() {
+    let mut s = Scene::new();
+    s.submit(array("wk-000001", 60));
+    let mut job = array("wk-000001", 60);
+    job.team = "blue".to_owned();
+    job.id = JobId::parse("wk-000002").unwrap();
+    s.submit(job);
+    let decisions = s.round();
+    let rented = |s: &mut Scene, decisions: &Decisions| {
+        s.log.clear();
+        s.fleet(decisions);
+        let rents = s.log.lines().filter(|line| line.contains("Rent("));
+        let counts = rents.filter_map(|line| {
+            line.rsplit(", ")
+                .next()?
+                .trim_end_matches(')')
+                .parse::<usize>()
+                .ok()
+        });
+        counts.sum::<usize>()
+    };
+    let first = rented(&mut s, &decisions);
+    let names: Vec<String> = (0..first).map(|n| format!("m-g{n}n")).collect();
+    let offer = Offer {
+        build: "gpu2".to_owned(),
+        zone: "north".to_owned(),
+        spot: true,
+    };
+    s.cluster.hired(&names, &offer, s.now);
+    s.pass(60.0);
+    assert_eq!(rented(&mut s, &decisions), 0, "they may still come");
+    s.pass(20.0);
+    let replaced = rented(&mut s, &decisions);
+    assert!(
+        (1..=4).contains(&replaced),
+        "{replaced} of {first} are replaced"
+    );
+    s.pass(90.0);
+    s.log.clear();
+    s.fleet(&decisions);
+    assert!(s.log.contains("its boot is hopeless"), "{}", s.log);
+}
