--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -30,6 +30,7 @@
 
 use self::sent::SentBook;
 use crate::config::{secs, Settings};
+use crate::leader::caretaking;
 use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term};
 use crate::peer::{Hint, Told};
 use crate::store::replica::Replica;
@@ -61,6 +62,10 @@
     pub quiet: Duration,
     /// A machine silent for that long is given up.
     pub lost: Duration,
+    /// When a worker that nobody of this term has answered has lost what an earlier leader let
+    /// start on it, counted from the take-over: the lead before ended then, whoever had it may
+    /// have answered for its time as a caretaker, and a lease counts from the report answered.
+    pub bereft: Duration,
     /// How soon members of a gang notice a missing one.
     pub gang_peer: Duration,
     /// How long a member waits for the others.
@@ -76,6 +81,7 @@
             lease: secs(w.lease_s * (1.0 + DRIFT)) + LEASE_MARGIN,
             quiet: secs(w.report_s * QUIET_REPORTS),
             lost: secs(w.report_s * LOST_REPORTS),
+            bereft: secs(w.lease_s * (1.0 + DRIFT)) + LEASE_MARGIN + caretaking(settings),
             gang_peer: secs(w.gang_peer_s),
             gang_wait: secs(w.gang_wait_s),
         }
@@ -95,8 +101,10 @@
 pub struct Cluster {
     /// Our term.
     pub term: Term,
-    /// Since when we lead.
+    /// Since when we lead; moved on by times in which we heard nobody.
     pub since: Instant,
+    /// When we took over, whatever was heard since.
+    taken_over: Instant,
     /// Timing of the workers.
     pub timing: Timing,
     /// Jobs of which a task may be anywhere, or has to run.
@@ -155,6 +163,7 @@
         let mut cluster = Self {
             term,
             since: now,
+            taken_over: now,
             timing: Timing::new(settings),
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
@@ -389,6 +398,9 @@
 
     /// Ends what time alone ends. Only to be called while we lead.
     pub fn expire(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.taken_over) > self.timing.bereft {
+            self.settle_bereft();
+        }
         let lease = self.timing.lease;
         let quiet = self.timing.quiet;
         let mut over = Vec::new();
@@ -417,6 +429,25 @@
             .retain(|(at, _)| recent.is_none_or(|recent| *at >= recent));
     }
 
+    /// Machines of earlier terms that nobody of ours has answered hold nothing any more. What they
+    /// are worth waiting for is another matter.
+    fn settle_bereft(&mut self) {
+        let bereft = self.unsettled.iter().filter(|id| {
+            let machine = self.machines.get(*id);
+            machine.is_none_or(|machine| machine.answered.is_none())
+        });
+        let bereft: Vec<MachineId> = bereft.cloned().collect();
+        if !bereft.is_empty() {
+            tracing::info!(
+                machines = bereft.len(),
+                "hold nothing any more, by their leases"
+            );
+        }
+        for id in bereft {
+            self.settled(&id);
+        }
+    }
+
     /// Goes on after a time in which we took no reports: nobody was silent towards us then.
     /// When a worker's lease ends is another matter, since it counts from our last answer.
     pub fn resume(&mut self, missed: Duration, now: Instant) {
--- a/src/cluster/sync.rs
+++ b/src/cluster/sync.rs
@@ -37,8 +37,10 @@
                     self.stop_job(id, 0.0);
                 }
             }
-            // Our own retirement of the job: the records are gone, and so are its tasks.
-            if !replica.live.contains_key(id) && verdict.record.0 != Verdict::Accepted {
+            // Our own retirement of the job: the records are gone, and so are its tasks. A node of
+            // 0.3.0 that cancels lets the description go sooner.
+            let gone = !self.jobs.get(id).is_some_and(Job::placed);
+            if gone && !replica.live.contains_key(id) && verdict.record.0 != Verdict::Accepted {
                 self.forget_job(id);
             }
             return;
--- a/src/fleet/idle.rs
+++ b/src/fleet/idle.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use super::lost::cut_off;
 use super::{Look, Market, Offer};
 use crate::cluster::{build_named, Cluster, Kind, KindId, Machine, ARRIVALS_KEPT};
 use crate::model::{Build, JobSpec, MachineId};
@@ -48,7 +49,9 @@
             && !machine.busy()
             && !kept.contains(&machine.id)
             && !leaving.contains(&machine.id);
-        if !free {
+        // One that is cut off had its work taken by its lease, not for want of any.
+        let silent = machine.silent(now, cluster.timing.quiet);
+        if !free || (silent && cut_off(cluster, &machine.zone, now)) {
             continue;
         }
         let Some(build) = build_named(cluster.catalog(), &machine.build) else {
--- a/src/fleet/lost.rs
+++ b/src/fleet/lost.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use crate::cluster::{build_named, Cluster, Drain, Listed, Machine};
+use crate::cluster::{build_named, Cluster, Drain, Durable, Listed, Machine};
 use crate::model::MachineId;
 
 /// Part of the fleet that must be heard from before silence of the rest is believed: when
@@ -19,6 +19,10 @@
 /// The name under which it is remembered that hardly half of all machines was heard; no zone's,
 /// since those have no spaces.
 const EVERYWHERE: &str = "every zone";
+/// Leases for which machines of a zone that is cut off are kept. Their work is gone with the first;
+/// but to boot and to fetch images anew takes as long as most cuts last, and where all there are
+/// of a kind are rented, nothing takes their place meanwhile.
+const CUT_LEASES: u32 = 4;
 /// A boot of this many times its nominal time is given up.
 const HOPELESS_BOOT: f64 = 4.0;
 /// A machine listed as running for that long without a report is given up.
@@ -92,11 +96,20 @@
     }
 }
 
+/// Whether a zone counts as cut off: what is silent there says nothing by it, and what would be
+/// rented there could not be reached either.
+pub(super) fn cut_off(cluster: &Cluster, zone: &str, now: Instant) -> bool {
+    cluster.cut_lately(zone, now, latest(cluster))
+}
+
 /// Machines to be given up whatever the demand.
 pub(super) fn machines(cluster: &Cluster, now: Instant) -> Vec<(MachineId, &'static str)> {
     let timing = &cluster.timing;
     let since_take_over = now.saturating_duration_since(cluster.since);
-    let waited_for = |machine: &Machine| cluster.unsettled.contains(&machine.id);
+    // Whether others wait for it or not: it was up in an earlier term.
+    let waited_for = |machine: &Machine| {
+        cluster.unsettled.contains(&machine.id) || machine.rostered == Durable::Yes
+    };
     let late = latest(cluster);
     let we_hear = !cluster.cut_lately(EVERYWHERE, now, late);
     let mut lost = Vec::new();
@@ -104,7 +117,7 @@
         let id = machine.id.clone();
         let age = now.saturating_duration_since(machine.rented);
         let boot = build_named(cluster.catalog(), &machine.build).map(|build| build.boot);
-        let cut = cluster.cut_lately(&machine.zone, now, late);
+        let cut = cut_off(cluster, &machine.zone, now);
         let why = if machine.listed == Listed::Failed {
             Some("it failed")
         } else if machine.reported.is_some() {
@@ -114,7 +127,7 @@
             let limit = if we_hear && !cut {
                 timing.lost
             } else {
-                timing.lost.max(timing.lease * 2)
+                timing.lost.max(timing.lease * CUT_LEASES)
             };
             let drained = machine.drain.is_some() && !machine.busy();
             let by_operator = machine.drain == Some(Drain::Operator);
@@ -135,7 +148,7 @@
             let limit = match (we_hear && !cut, alone) {
                 (true, true) => late,
                 (true, false) => timing.lost,
-                (false, _) => timing.lost.max(timing.lease * 2),
+                (false, _) => timing.lost.max(timing.lease * CUT_LEASES),
             };
             (since_take_over > limit).then_some("it did not report")
         } else if machine.listed == Listed::Running {
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::idle::Demand;
+use super::lost::cut_off;
 use super::{Look, Offer, Thrift};
 use crate::cluster::{Cluster, Machine};
 use crate::model::{Amount, Build, JobSpec, MachineId};
@@ -123,7 +124,7 @@
                         zone: zone.clone(),
                         spot,
                     };
-                    let asked = market.asks(&offer, now);
+                    let asked = market.asks(&offer, now) && !cut_off(cluster, zone, now);
                     wares.push(Ware {
                         offer,
                         build,
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -24,6 +24,15 @@
 /// Kept free of a cancellation's time when we answer reports without leading.
 const CARETAKE_MARGIN: Duration = Duration::from_secs(2);
 
+/// How long after its lease a leader goes on answering reports. A job may have been cancelled,
+/// unseen by it, since just before the last contact; its tasks must be gone `cancel_s` later, and
+/// they live up to a lease after an answer.
+pub fn caretaking(settings: &Settings) -> Duration {
+    let w = &settings.params.workers;
+    let stale = WATCH_HOLD + WATCH_GRACE + CARETAKE_MARGIN;
+    crate::config::secs(w.cancel_s - w.lease_s).saturating_sub(stale)
+}
+
 /// What this process may do now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Standing {
@@ -72,14 +81,9 @@
 impl Role {
     /// A follower of nobody.
     pub fn new(settings: &Settings) -> Self {
-        let w = &settings.params.workers;
-        // A job may have been cancelled, unseen by us, since just before the last contact. Its
-        // tasks must be gone `cancel_s` later, and they live up to a lease after our answer.
-        let stale = WATCH_HOLD + WATCH_GRACE + CARETAKE_MARGIN;
-        let spare = crate::config::secs(w.cancel_s - w.lease_s);
         Self {
             me: settings.member.clone(),
-            caretake: spare.saturating_sub(stale),
+            caretake: caretaking(settings),
             lease: None,
             lead: None,
             known: None,
