--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -242,20 +242,16 @@
             .collect()
     }
 
-    /// Those of them that may be asked for now and are worth it, cheapest for a task first.
-    fn cheapest(&self, spec: &JobSpec, usable: &[(usize, u32)]) -> Vec<(f64, usize, u32)> {
-        let priced = usable.iter().map(|(at, each)| {
-            let ware = &self.wares[*at];
-            let price = ware.build.price_of(ware.offer.spot) / f64::from(*each);
-            (price, *at, *each)
-        });
-        let mut cheapest: Vec<_> = priced.collect();
-        let prices = cheapest.iter().map(|(price, ..)| *price);
-        let least = prices.fold(f64::INFINITY, f64::min);
-        let has_aim = self.policy.has_aim(&spec.class);
-        cheapest.retain(|(price, at, _)| {
-            self.wares[*at].asked && !worth::not_worth_renting(spec, has_aim, *price, least)
-        });
+    /// Those of them that may be asked for now, cheapest for a task first.
+    fn cheapest(&self, usable: &[(usize, u32)]) -> Vec<(f64, usize, u32)> {
+        let asked = usable.iter().filter(|(at, _)| self.wares[*at].asked);
+        let mut cheapest: Vec<_> = asked
+            .map(|(at, each)| {
+                let ware = &self.wares[*at];
+                let price = ware.build.price_of(ware.offer.spot) / f64::from(*each);
+                (price, *at, *each)
+            })
+            .collect();
         cheapest.sort_by(|a, b| a.0.total_cmp(&b.0));
         cheapest
     }
@@ -292,7 +288,7 @@
             let bays = usable.iter().flat_map(|(at, _)| &self.bays[*at]);
             let there: u32 = bays.map(|bay| spec.need.count_in(&bay.free)).sum();
             let missing = want.tasks.saturating_sub(there);
-            let price = match self.cheapest(spec, &usable).first() {
+            let price = match self.cheapest(&usable).first() {
                 Some((price, ..)) => *price,
                 None if missing == 0 => 0.0,
                 None => continue,
@@ -336,7 +332,7 @@
                     .extend(bay.machine.map(|machine| machine.id.clone()));
             }
         }
-        for (_, at, each) in self.cheapest(spec, &usable) {
+        for (_, at, each) in self.cheapest(&usable) {
             let ware = &self.wares[at];
             let there = bounds.per_zone.entry(ware.offer.zone.clone()).or_default();
             let mut here = left.min(cap - *there);
@@ -380,7 +376,7 @@
         }
         for (_, (tasks, spec)) in classes {
             let usable = self.usable(spec, None);
-            let cheapest = self.cheapest(spec, &usable);
+            let cheapest = self.cheapest(&usable);
             let Some((_, first, _)) = cheapest.first() else {
                 continue;
             };
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -101,13 +101,6 @@
         within.is_some_and(|within| *within < boot * BOOTS_TO_SPARE)
     }
 
-    /// Whether any aim says when jobs of a class should start or end.
-    pub fn has_aim(&self, class: &str) -> bool {
-        self.aims.contains_key(class)
-            || self.prompt.contains_key(class)
-            || self.deadlines.contains_key(class)
-    }
-
     /// Whether the team may use `sum` at once. One that the settings don't name any more has no
     /// limit: its accepted jobs have to run all the same.
     pub fn within_limit(&self, team: &str, sum: &Amount) -> bool {
--- a/src/sched/worth.rs
+++ b/src/sched/worth.rs
@@ -6,12 +6,9 @@
 use crate::model::{Build, JobSpec, Rank};
 
 /// Times the least price for the room that a task takes, above which a type is too dear for work
-/// of the lowest rank. Types rented for the same resource differ by less.
+/// of the lowest rank. Types rented for the same resource differ by less, and so do spot and ordinary
+/// machines of one type: nobody says whether money matters more than time.
 const TOO_DEAR: f64 = 3.0;
-/// The same where a machine would be rented for it, by the price as it is rented: a spot machine,
-/// where there are any.
-const TOO_DEAR_TO_RENT: f64 = 1.5;
-
 /// The part of a machine that a task takes: of the resource of which it takes most.
 fn part(spec: &JobSpec, build: &Build) -> f64 {
     let part = |need: f64, room: f64| if need > 0.0 { need / room } else { 0.0 };
@@ -34,9 +31,3 @@
     let least = costs.fold(f64::INFINITY, f64::min);
     build.price * part(spec, build) > least * TOO_DEAR
 }
-
-/// Whether a machine at this price for a task is not worth renting, given the least price there
-/// is. Work that has an aim is rented for like other work.
-pub fn not_worth_renting(spec: &JobSpec, has_aim: bool, price: f64, least: f64) -> bool {
-    spec.rank == Rank::BestEffort && !has_aim && price > least * TOO_DEAR_TO_RENT
-}
