A node saves up changes that it had no use for

By the log 48 of 1,140 came late, all at one or two nodes to which the load balancer sent the swarm for some seconds, spaced by 0.167 s: a follower's part of 80 changes a second among seven nodes is 6. Ruled out: processor, latency. Now a node saves up three seconds' worth, a quarter of what the service takes at once at most, and what the service refuses (nothing was executed) is sent again after a pause.

--- a/src/store/actor.rs
+++ b/src/store/actor.rs
@@ -28,6 +28,9 @@
 /// How long a group that somebody waits for may have to wait for its turn by the limits. What
 /// would take longer is refused at once, and its user told when to come back.
 const LONGEST_QUEUE: Duration = Duration::from_secs(2);
+/// Times a batch that the service has no room for is sent again, each after a pause.
+const MOST_REFUSALS: u32 = 3;
+const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
 /// Conditions a transaction may have for every put or delete allowed.
 pub(super) const CONDITIONS_PER_OP: usize = 4;
 /// How long a watch stays open. Bounds how stale a replica can get when an answer is lost.
@@ -301,6 +304,7 @@
 /// Sends a batch for which the limits were asked; what is left after a conflict asks again.
 async fn send_batch(inner: &Rc<Inner>, mut batch: Vec<Waiting>) {
     let mut again = false;
+    let mut refused = 0;
     while !batch.is_empty() {
         let mut all = Group::default();
         for waiting in &batch {
@@ -332,6 +336,11 @@
                 answer_all(fallen, &Outcome::Conflict { failed, revision });
                 batch = left;
             }
+            // Nothing was executed. Nodes that had saved up changes let them go together.
+            Outcome::Failed(StoreError::Refused(429)) if refused < MOST_REFUSALS => {
+                refused += 1;
+                actix::clock::sleep(REFUSAL_PAUSE).await;
+            }
             outcome => {
                 debug!(groups = batch.len(), ?outcome, "transaction");
                 answer_all(batch, &outcome);
--- a/src/store/limiter.rs
+++ b/src/store/limiter.rs
@@ -3,34 +3,42 @@
 
 use std::time::{Duration, Instant};
 
-/// A bucket that holds one second's worth at most.
+/// A bucket that holds so many seconds' worth at most.
 #[derive(Debug)]
 pub struct Bucket {
     rate: f64,
+    depth_s: f64,
     level: f64,
     at: Instant,
 }
 
 impl Bucket {
-    /// A full bucket.
+    /// A full bucket that holds one second's worth.
     pub fn new(rate: f64, now: Instant) -> Self {
         Self {
             rate,
+            depth_s: 1.0,
             level: rate.max(1.0),
             at: now,
         }
     }
 
-    /// Changes the rate, keeping what is in the bucket as far as it still fits.
-    pub fn set_rate(&mut self, rate: f64, now: Instant) {
+    /// Changes the rate and the depth, keeping what is in the bucket as far as it still fits.
+    pub fn set_rate(&mut self, rate: f64, depth_s: f64, now: Instant) {
         self.refill(now);
         self.rate = rate;
-        self.level = self.level.min(rate.max(1.0));
+        self.depth_s = depth_s;
+        self.level = self.level.min(self.most());
+    }
+
+    /// What it holds at most.
+    fn most(&self) -> f64 {
+        (self.rate * self.depth_s).max(1.0)
     }
 
     fn refill(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.level = (self.level + passed * self.rate).min(self.rate.max(1.0));
+        self.level = (self.level + passed * self.rate).min(self.most());
         self.at = now;
     }
 
@@ -58,7 +66,7 @@
     /// Time until `amount` can be had.
     pub fn wait(&mut self, amount: f64, now: Instant) -> Duration {
         self.refill(now);
-        let missing = amount.min(self.rate.max(1.0)) - self.level;
+        let missing = amount.min(self.most()) - self.level;
         if missing <= 0.0 || self.rate <= 0.0 {
             Duration::ZERO
         } else {
@@ -73,6 +81,13 @@
 /// The leader's part of the limits: it writes for all, the others only verdicts.
 const LEADER_PART: f64 = 0.5;
 
+/// Seconds' worth of changes that a node saves up while it has none to make. The load balancer
+/// sends a swarm's submissions to a few nodes at a time, and the others' parts lie idle then.
+const SAVED_UP_S: f64 = 3.0;
+/// Part of what the service takes at once that one node may save up: only when several nodes let
+/// all of theirs go together does it refuse some, which are sent again.
+const SAVED_UP_PART: f64 = 0.25;
+
 /// Both buckets of a node.
 #[derive(Debug)]
 pub struct Limiter {
@@ -89,13 +104,15 @@
     /// A follower's limiter among `nodes` nodes.
     pub fn new(rps: f64, write_rps: f64, nodes: usize, now: Instant) -> Self {
         let part = Self::part(nodes, false);
-        Self {
+        let mut limiter = Self {
             nodes,
             rps,
             write_rps,
             requests: Bucket::new(rps * part, now),
             writes: Bucket::new(write_rps * part, now),
-        }
+        };
+        limiter.lead(false, now);
+        limiter
     }
 
     /// Time until so many requests and changes may go; nothing if they may go now.
@@ -125,8 +142,9 @@
     /// Takes the leader's or a follower's part.
     pub fn lead(&mut self, leading: bool, now: Instant) {
         let part = Self::part(self.nodes, leading);
-        self.requests.set_rate(self.rps * part, now);
-        self.writes.set_rate(self.write_rps * part, now);
+        self.requests.set_rate(self.rps * part, 1.0, now);
+        let saved_up = (SAVED_UP_PART / part).min(SAVED_UP_S).max(1.0);
+        self.writes.set_rate(self.write_rps * part, saved_up, now);
     }
 }
 
@@ -157,4 +175,24 @@
         let limiter = Limiter::new(80.0, 30.0, 3, now);
         assert!(limiter.writes.rate < limiter.requests.rate);
     }
+
+    /// Several submissions a second at one of seven nodes waited for its seventh of the limits.
+    #[test]
+    fn a_node_saves_up_changes_that_it_had_no_use_for_but_only_a_part_of_what_may_go_at_once() {
+        let start = Instant::now();
+        let later = start + Duration::from_secs(60);
+        for (write_rps, nodes) in [(80.0, 7), (30.0, 5), (100.0, 1)] {
+            let mut limiter = Limiter::new(write_rps, write_rps, nodes, start);
+            let rate = limiter.writes.rate;
+            let saved = limiter.writes.level(later);
+            assert!(saved >= rate && saved <= rate * SAVED_UP_S + 1e-9);
+            assert!(saved <= (write_rps * SAVED_UP_PART).max(rate) + 1e-9);
+            limiter.lead(true, later);
+            let level = limiter.writes.level(later + Duration::from_secs(60));
+            assert!(
+                level <= limiter.writes.rate + 1e-9,
+                "the leader has none to spare"
+            );
+        }
+    }
 }
