--- a/src/store/limiter.rs
+++ b/src/store/limiter.rs
@@ -143,7 +143,7 @@
     pub fn lead(&mut self, leading: bool, now: Instant) {
         let part = Self::part(self.nodes, leading);
         self.requests.set_rate(self.rps * part, 1.0, now);
-        let saved_up = (SAVED_UP_PART / part).min(SAVED_UP_S).max(1.0);
+        let saved_up = (SAVED_UP_PART / part).clamp(1.0, SAVED_UP_S);
         self.writes.set_rate(self.write_rps * part, saved_up, now);
     }
 }
