--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -7,7 +7,14 @@
 use super::faults::Blame;
 use super::{ImageId, KindId};
 use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId, Token};
-use crate::wire::Cause;
+use crate::wire::{Cause, BODY_LIMIT};
+
+/// Bytes that a task takes in a report, in the form by which its size is measured.
+const REPORTED_BYTES: usize = 80;
+/// Tasks on a machine, results that wait to be written down included, above which it gets no more:
+/// half of what a report may hold. While the records take no progress, results of short tasks
+/// would otherwise pile up until no report of the machine's could be sent.
+const MOST_REPORTED: usize = BODY_LIMIT / REPORTED_BYTES / 2;
 
 /// A start of a task on a machine.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -376,6 +383,10 @@
                 "it rests after a failure",
             ),
             (self.murky(), "something unknown runs on it"),
+            (
+                self.slots.len() >= MOST_REPORTED,
+                "its reports would get too long",
+            ),
         ];
         let holds = reasons.into_iter().find(|(holds, _)| *holds);
         holds.map(|(_, why)| why)
--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -59,6 +59,8 @@
     leases: BTreeMap<u64, (Duration, Instant)>,
     next_lease: u64,
     requests: usize,
+    /// Changes up to this one are not kept.
+    forgotten: u64,
     out: bool,
 }
 
@@ -148,6 +150,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes a key and lets go of the history up to then, so that open watches are too old.
+    pub fn put_and_forget(&self, key: &str, value: Value) {
+        let mut kept = self.kept.lock().unwrap();
+        kept.epoch += 2;
+        let epoch = kept.epoch;
+        kept.keys.insert(key.to_owned(), (value, epoch, 0));
+        kept.changes.clear();
+        kept.forgotten = epoch - 1;
+    }
+
     /// Requests taken so far.
     pub fn requests(&self) -> usize {
         self.kept.lock().unwrap().requests
@@ -314,6 +326,9 @@
             first = false;
             if !kept.out {
                 kept.expire();
+                if get("after") < kept.forgotten {
+                    return answer(410, &cbor!({}).unwrap());
+                }
                 let events: Vec<Value> = kept
                     .changes
                     .iter()
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -350,6 +350,20 @@
     assert!(cost < asked / 4, "{cost} requests for {asked} questions");
 }
 
+/// After a long silence a watch may be older than the history that the service keeps.
+#[actix_web::test]
+async fn a_watch_that_is_too_old_is_made_up_for_by_reading_everything_again() {
+    let bench = Bench::new("too-old");
+    let node = bench.start();
+    node.accept(&job("wk-000910", "array", 5000, 16.0)).await;
+    let done = cbor!({"verdict" => "Done", "tasks" => 1}).unwrap();
+    bench.state.put_and_forget("kl/job/wk-000911", done);
+    node.until("wk-000911", "done").await;
+    node.accept(&job("wk-000912", "array", 1, 4.0)).await;
+    let (status, _) = node.poll("wk-000910").await;
+    assert_eq!(status, 200, "what was known still is");
+}
+
 /// A process of little memory keeps few verdicts at hand; of the others it asks.
 #[actix_web::test]
 async fn a_job_over_long_ago_stays_known_to_a_process_that_keeps_few_verdicts() {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -875,3 +875,66 @@
     assert_eq!(round(&mut s, bereft + moment), 1);
     assert!(s.cluster.unsettled.is_empty());
 }
+
+/// At a twentieth of the boot time a machine reports before the rental's answer, and before any
+/// list has it.
+#[test]
+fn a_machine_that_is_up_before_its_rental_is_answered_is_no_stranger_and_not_rented_twice() {
+    let mut s = Scene::new();
+    s.submit(array("wk-000001", 2));
+    s.report_as("m-g1n", (1, 1, 0), &[], true);
+    let decisions = s.round();
+    s.note("a report alone is no sign of a machine: nothing is planned for it, nor is it returned");
+    s.fleet(&decisions);
+    let offer = Offer {
+        build: "gpu2".to_owned(),
+        zone: "north".to_owned(),
+        spot: false,
+    };
+    s.cluster.hired(&["m-g1n".to_owned()], &offer, s.now);
+    s.note("the rental's answer names it");
+    s.report_as("m-g1n", (1, 2, 0), &[], true);
+    let decisions = s.round();
+    s.fleet(&decisions);
+    assert!(decisions.short.is_empty(), "both tasks have room");
+    s.report_as("m-g1n", (1, 3, 1), &[], true);
+    s.listed(&["m-g1n"]);
+    assert_eq!(s.cluster.machines.len(), 1);
+    insta::assert_snapshot!(s.log);
+}
+
+/// While the records take no progress, results of short tasks pile up on their machines.
+#[test]
+fn a_machine_full_of_results_gets_no_more_until_they_are_written_down() {
+    let mut s = Scene::new();
+    s.machines(&["m-c1n"]);
+    let mut sweep = array("wk-000001", 5000);
+    sweep.rank = Rank::BestEffort;
+    sweep.need = Amount {
+        cpus: 0.25,
+        gpus: 0.0,
+        memory: 0.1,
+    };
+    s.submit(sweep);
+    let names: Vec<String> = (0..450).map(|n| format!("wk-000001/{n}")).collect();
+    let results: Vec<_> = names
+        .iter()
+        .map(|name| (name.as_str(), 7, EXITED, Some(Cause::Done)))
+        .collect();
+    s.report("m-c1n", &results);
+    let decisions = s.round_with(false);
+    assert!(
+        decisions.starts.is_empty(),
+        "it has room, but its reports would get too long"
+    );
+    s.pass(3.0);
+    s.round();
+    s.report("m-c1n", &results);
+    s.report("m-c1n", &[]);
+    let decisions = s.round();
+    assert_eq!(
+        decisions.starts.len(),
+        64,
+        "all are written down and cleared"
+    );
+}
