Starts and 200s hang on how complete the replica is, not on renewals

Cause (read, then shown by tests/meetings.rs): after an outage every lease has its full time again; an old leader's first renewal made it lead with a replica as old as the refusal before, and a planned start of a job cancelled meanwhile left with the next report. A leader whose renewals succeed while its reads don't answered for ever. Freshness is now one fact (leader::Freshness): complete up to the sending of the newest read whose answer is in. A 200 goes for cancel_s - lease_s less drift and margin after it; a start, and a round, only after a read newer than the last failure; a leader that reads nothing hands over. A leader's watch stays open for 1 s instead of 4, so that the proof is recent.

--- a/src/actors/leader.rs
+++ b/src/actors/leader.rs
@@ -109,20 +109,21 @@
         RENEW_EVERY
     }
 
-    /// Whether we lead and the workers don't get through to us but to others: their leases
-    /// would run out while we renew ours.
+    /// Whether we lead and the workers don't get through to us but to others, or we can't read the
+    /// records: their leases would run out while we renew ours.
     fn of_no_use(&self) -> bool {
         let now = Instant::now();
         let unheard = {
             let cluster = self.shared.cluster.lock();
             cluster.as_ref().is_some_and(|c| c.hears_few(now))
         };
-        unheard && self.shared.astray.lock().lately(now)
+        let unread = self.shared.role.lock().reads_nothing(now);
+        unread || (unheard && self.shared.astray.lock().lately(now))
     }
 
     /// Ends our lease so that another node leads at once.
     async fn hand_over(&self, lease: u64) {
-        warn!("workers reach other nodes and not us; another one is to lead");
+        warn!("workers or the records are out of our reach; another node is to lead");
         self.shared.role.lock().stand_back(Instant::now());
         self.step_down();
         if let Err(error) = self.client.end(lease).await {
@@ -163,6 +164,8 @@
         drop(replica);
         self.shared.metrics.lock().terms += 1;
         self.store.do_send(TakePart(true));
+        // Starts wait for a read that is newer than the election.
+        self.shared.wake_reader.notify_one();
         self.shared.wake_round.notify_one();
     }
 
@@ -179,8 +182,10 @@
         match self.client.renew(lease.id, RENEWAL_LIMIT).await {
             Ok(()) => {
                 self.shared.store_answered(sent);
-                if let Some(lease) = &mut self.shared.role.lock().lease {
-                    lease.renewed = sent;
+                self.shared.role.lock().renewed(sent);
+                // After a gap the lease may last again, but the replica is old.
+                if self.shared.role.lock().wants_proof(Instant::now()) {
+                    self.shared.wake_reader.notify_one();
                 }
                 RENEW_EVERY.saturating_sub(sent.elapsed())
             }
@@ -191,7 +196,9 @@
             }
             Err(error) => {
                 debug!(%error, "renewal failed");
-                self.shared.store_failed();
+                if error.contact_lost() {
+                    self.shared.store_failed();
+                }
                 PAUSE
             }
         }
@@ -238,7 +245,9 @@
             Ok(id) => id,
             Err(error) => {
                 debug!(%error, "no lease to be had");
-                self.shared.store_failed();
+                if error.contact_lost() {
+                    self.shared.store_failed();
+                }
                 return PAUSE + PAUSE.mul_f64(jitter);
             }
         };
--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -13,7 +13,7 @@
 use crate::cluster::{Direct, RecordWrite, Verified, Way};
 use crate::leader::Lead;
 use crate::model::{Term, Token};
-use crate::sched::{self, Short};
+use crate::sched::{self, Decisions, Short};
 use crate::service::{Shared, Shelf};
 use crate::store::actor::{Commit, StoreActor};
 use crate::store::{keys, Condition, Outcome, StoreError};
@@ -132,6 +132,7 @@
     }
 
     fn round(self: &Rc<Self>, lead: &Lead, now: Instant) {
+        let starting = self.shared.role.lock().starting(now).is_some();
         let (direct, waits) = {
             let mut guard = self.shared.cluster.lock();
             let Some(cluster) = guard.as_mut().filter(|c| c.term == lead.term) else {
@@ -139,7 +140,13 @@
             };
             self.shared.drain_by_operator(cluster);
             cluster.expire(now);
-            let decisions = sched::round(cluster, &self.shared.policy, now);
+            // Of jobs that may have been cancelled unseen nothing is decided; what was decided
+            // before goes on.
+            let decisions = if starting {
+                sched::round(cluster, &self.shared.policy, now)
+            } else {
+                Decisions::default()
+            };
             sched::apply(cluster, &decisions, now);
             cluster.dirty = false;
             let starts: usize = decisions.starts.iter().map(|s| s.members.len()).sum();
@@ -157,7 +164,9 @@
                 metrics.starts += starts as u64;
                 metrics.stops += stops as u64;
             }
-            *self.shortages.lock() = decisions.short;
+            if starting {
+                *self.shortages.lock() = decisions.short;
+            }
             let direct = cluster.direct_orders(now);
             (direct, std::mem::take(&mut cluster.waits))
         };
--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -89,14 +89,18 @@
     // Looked at under the lock and at the last moment: a lead that has just ended must not send
     // starts, and a caretaker whose time is over must not renew leases.
     let now = clock();
-    let leads = match shared.role.lock().standing(now) {
-        Standing::Lead(lead) if lead.term == term => true,
-        Standing::Caretake(own) if own == term => false,
-        _ => return None,
+    let starts = {
+        let role = shared.role.lock();
+        match role.standing(now) {
+            Standing::Lead(lead) if lead.term == term => role.starting(now).is_some(),
+            Standing::Caretake(own) if own == term => false,
+            _ => return None,
+        }
     };
     let token = cluster.touch(&id, now);
-    let orders = if leads && verified == Verified::Newer {
-        cluster.answer(&id, now)
+    // Stops and clears are safe from whoever holds a token that the worker still obeys.
+    let orders = if verified == Verified::Newer {
+        cluster.answer(&id, now, starts)
     } else {
         Vec::new()
     };
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -30,13 +30,11 @@
 
 use self::sent::SentBook;
 use crate::config::{secs, Settings};
-use crate::leader::caretaking;
+use crate::leader::{caretaking, DRIFT};
 use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term};
 use crate::peer::{Hint, Told};
 use crate::store::replica::Replica;
 
-/// Clocks of two machines may drift apart by this part.
-const DRIFT: f64 = 0.0005;
 /// Added to a worker's lease before we count on its end: timers fire late, and the worker
 /// needs a moment to kill its tasks.
 const LEASE_MARGIN: Duration = Duration::from_secs(1);
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -414,15 +414,16 @@
     }
 
     /// What a machine is told in the answer to its newest report. Starts go out here only:
-    /// the worker drops an answer that comes late, so nothing sent here is executed late.
-    pub fn answer(&mut self, id: &MachineId, now: Instant) -> Vec<Order> {
+    /// the worker drops an answer that comes late, so nothing sent here is executed late. Without
+    /// `starts` they wait: the replica may lack a cancellation.
+    pub fn answer(&mut self, id: &MachineId, now: Instant, starts: bool) -> Vec<Order> {
         let mut orders = Vec::new();
         let Some(machine) = self.machines.get_mut(id) else {
             return orders;
         };
         machine.answered = Some(now);
         let (session, seq) = machine.newest;
-        let can_start = machine.can_start(now, self.timing.quiet);
+        let can_start = starts && machine.can_start(now, self.timing.quiet);
         for (slot, state) in &mut machine.slots {
             let job = self.jobs.get(&slot.task.job);
             if let Phase::Exited(cause) = state.phase {
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -5,9 +5,9 @@
 
 use std::time::{Duration, Instant};
 
-use crate::config::Settings;
+use crate::config::{secs, Settings};
 use crate::model::Term;
-use crate::store::actor::{WATCH_GRACE, WATCH_HOLD};
+use crate::store::actor::{LEADER_WATCH_HOLD, WATCH_GRACE, WATCH_HOLD};
 use crate::store::keys::LeaderRecord;
 
 /// Time of the leader's lease: short enough that a crash is hardly noticed, long enough that
@@ -21,16 +21,67 @@
 /// How long a node that gave up its lead lets the others go first. Should none of them be able
 /// to lead, this is what it costs.
 const STAND_BACK: Duration = Duration::from_secs(5);
-/// Kept free of a cancellation's time when we answer reports without leading.
-const CARETAKE_MARGIN: Duration = Duration::from_secs(2);
+/// Kept free of a cancellation's time when we answer reports: timers that fire late, and the
+/// moment that a worker takes to kill its tasks.
+const CANCEL_MARGIN: Duration = Duration::from_secs(2);
+/// Clocks of two machines may drift apart by this part.
+pub const DRIFT: f64 = 0.0005;
+/// Oldest replica from which starts are decided and sent: a watch that is answered just before
+/// the next one ends, and one that is answered late.
+const START_FRESHNESS: Duration = LEADER_WATCH_HOLD
+    .saturating_mul(2)
+    .saturating_add(WATCH_GRACE);
 
-/// How long after its lease a leader goes on answering reports. A job may have been cancelled,
-/// unseen by it, since just before the last contact; its tasks must be gone `cancel_s` later, and
-/// they live up to a lease after an answer.
-pub fn caretaking(settings: &Settings) -> Duration {
+/// How old our replica may be when a report is answered with 200. A job may have been cancelled,
+/// unseen by us, from the moment on up to which the replica is complete; its tasks must be gone
+/// `cancel_s` later, and an answer lets them live for a lease.
+pub fn answering(settings: &Settings) -> Duration {
     let w = &settings.params.workers;
-    let stale = WATCH_HOLD + WATCH_GRACE + CARETAKE_MARGIN;
-    crate::config::secs(w.cancel_s - w.lease_s).saturating_sub(stale)
+    let drift = w.cancel_s * 2.0 * DRIFT;
+    secs(w.cancel_s - w.lease_s - drift).saturating_sub(CANCEL_MARGIN)
+}
+
+/// How long after its lease a leader goes on answering reports at most, however fresh its replica
+/// is. A new leader counts on that for machines that it can't hear.
+pub fn caretaking(settings: &Settings) -> Duration {
+    answering(settings).saturating_sub(WATCH_HOLD + WATCH_GRACE)
+}
+
+/// How complete this process's replica is. The only owner of that fact: whatever was confirmed to
+/// anybody before [`Freshness::complete_at`] is in the replica, and in the picture made from it.
+///
+/// Renewals of the lease prove nothing of the replica. A state service that refuses this node
+/// alone, and then everybody, gives every lease its full time again: an old leader then finds
+/// itself leading, with a replica as old as the refusal.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Freshness {
+    /// When the newest read was sent whose answer was taken whole.
+    complete_at: Option<Instant>,
+    /// When a request last failed.
+    doubted_at: Option<Instant>,
+}
+
+impl Freshness {
+    /// A read that was sent then was answered, and all of the answer is in.
+    pub fn proved(&mut self, sent: Instant) {
+        self.complete_at = self.complete_at.max(Some(sent));
+    }
+
+    /// A request failed: contact may be lost from before then on.
+    pub fn doubt(&mut self, now: Instant) {
+        self.doubted_at = self.doubted_at.max(Some(now));
+    }
+
+    /// Whether the replica is complete up to less than `limit` ago.
+    pub fn within(&self, limit: Duration, now: Instant) -> bool {
+        self.complete_at
+            .is_some_and(|at| now.saturating_duration_since(at) < limit)
+    }
+
+    /// Whether it is good enough for starts: proved since contact last failed, and not long ago.
+    pub fn allows_starts(&self, now: Instant) -> bool {
+        self.complete_at > self.doubted_at && self.within(START_FRESHNESS, now)
+    }
 }
 
 /// What this process may do now.
@@ -38,8 +89,8 @@
 pub enum Standing {
     /// Everything.
     Lead(Lead),
-    /// Only keep the workers' leases alive: no starts. The state service can't be reached, and
-    /// whoever may lead instead can't have asked for more than time allows.
+    /// Only keep the workers' leases alive and stop tasks: no starts. The lease is over as far as
+    /// we can tell, and whoever may lead instead can't have asked for more than time allows.
     Caretake(Term),
     /// Nothing; that node may.
     Follow(Option<String>),
@@ -68,6 +119,10 @@
 pub struct Role {
     me: String,
     caretake: Duration,
+    answering: Duration,
+    freshness: Freshness,
+    /// Since when our lease has been renewed without a gap.
+    held_since: Option<Instant>,
     /// Our lease, if we hold or seek one.
     pub lease: Option<OwnLease>,
     lead: Option<Lead>,
@@ -84,6 +139,9 @@
         Self {
             me: settings.member.clone(),
             caretake: caretaking(settings),
+            answering: answering(settings),
+            freshness: Freshness::default(),
+            held_since: None,
             lease: None,
             lead: None,
             known: None,
@@ -100,6 +158,9 @@
             if let Some((_, member)) = newer {
                 return Standing::Follow(Some(member.clone()));
             }
+            if !self.freshness.within(self.answering, now) {
+                return Standing::Follow(None);
+            }
             if since < LEASE - MARGIN {
                 return Standing::Lead(lead.clone());
             }
@@ -122,6 +183,50 @@
         }
     }
 
+    /// The lead, if starts may be decided and sent under it.
+    pub fn starting(&self, now: Instant) -> Option<Lead> {
+        self.leading(now)
+            .filter(|_| self.freshness.allows_starts(now))
+    }
+
+    /// How complete the replica is.
+    pub fn freshness(&mut self) -> &mut Freshness {
+        &mut self.freshness
+    }
+
+    /// Whether a read is wanted at once: the lead lasts by its lease, and only the replica's age
+    /// keeps it from being of use.
+    pub fn wants_proof(&self, now: Instant) -> bool {
+        self.leading_by_lease(now) && !self.freshness.allows_starts(now)
+    }
+
+    /// Our lease was renewed by a request sent then.
+    pub fn renewed(&mut self, sent: Instant) {
+        let Some(lease) = &mut self.lease else {
+            return;
+        };
+        let gap = sent.saturating_duration_since(lease.renewed) >= LEASE - MARGIN;
+        lease.renewed = sent;
+        if gap || self.held_since.is_none() {
+            self.held_since = Some(sent);
+        }
+    }
+
+    /// Whether we keep a lead that is of no use, since renewals succeed and reads don't: for half
+    /// of the time for which an old replica still lets us answer reports, so that workers get to
+    /// another node before their leases end.
+    pub fn reads_nothing(&self, now: Instant) -> bool {
+        let long_held = self
+            .held_since
+            .is_some_and(|at| now.saturating_duration_since(at) > self.answering / 2);
+        self.leading_by_lease(now) && long_held && !self.freshness.within(self.answering / 2, now)
+    }
+
+    fn leading_by_lease(&self, now: Instant) -> bool {
+        let held = |lease: &OwnLease| now.saturating_duration_since(lease.renewed) < LEASE - MARGIN;
+        self.lead.is_some() && self.lease.as_ref().is_some_and(held)
+    }
+
     /// The term of our lead, lasting or not.
     pub fn own_term(&self) -> Option<Term> {
         self.lead.as_ref().map(|lead| lead.term)
@@ -130,6 +235,7 @@
     /// Takes the lead, once the records show it and the picture is made.
     pub fn take(&mut self, lead: Lead) {
         self.lead = Some(lead);
+        self.held_since = None;
     }
 
     /// Leaves the lead to others for a while; they go first as long as there are any.
@@ -186,6 +292,9 @@
         let mut role = Role {
             me: "knot-0".to_owned(),
             caretake: Duration::from_secs(10),
+            answering: Duration::from_secs(30),
+            freshness: Freshness::default(),
+            held_since: None,
             lease: Some(OwnLease {
                 id: 7,
                 renewed: now,
@@ -199,9 +308,64 @@
             term: Term(4),
             version: 40,
         });
+        role.freshness().proved(now);
         role
     }
 
+    /// Seen as a start of a job that had been cancelled a minute before: after an outage every
+    /// lease has its full time again, and the first renewal made an old leader lead.
+    #[test]
+    fn a_renewal_proves_nothing_of_the_replica() {
+        let start = Instant::now();
+        let mut role = role(start);
+        let back = start + Duration::from_secs(60);
+        assert_eq!(role.standing(back), Standing::Follow(None));
+        role.renewed(back);
+        assert_eq!(role.standing(back), Standing::Follow(None), "not even 200s");
+        assert!(role.wants_proof(back));
+        role.freshness().proved(back);
+        assert!(role.starting(back).is_some());
+    }
+
+    /// Refused alone for two seconds: the lease still lasts, and others may have confirmed
+    /// cancellations meanwhile.
+    #[test]
+    fn no_start_leaves_between_a_failure_and_the_next_read() {
+        let start = Instant::now();
+        let mut role = role(start);
+        let at = |ms: u64| start + Duration::from_millis(ms);
+        assert!(role.starting(at(100)).is_some());
+        role.freshness().doubt(at(500));
+        role.freshness().proved(at(400));
+        assert!(role.leading(at(600)).is_some(), "answers and stops go on");
+        assert!(role.starting(at(600)).is_none());
+        assert!(role.wants_proof(at(600)));
+        role.freshness().proved(at(700));
+        assert!(role.starting(at(800)).is_some());
+        assert!(!role.wants_proof(at(800)));
+    }
+
+    /// Renewals that succeed while reads don't: no start after a while, no 200 after the
+    /// replica's time, and the lead is given up before that.
+    #[test]
+    fn a_leader_that_reads_nothing_answers_for_a_bounded_time_and_gives_up_before() {
+        let start = Instant::now();
+        let mut role = role(start);
+        let mut given_up = None;
+        for ms in (0..60_000).step_by(500) {
+            let now = start + Duration::from_millis(ms);
+            role.renewed(now);
+            let age = now - start;
+            assert_eq!(role.starting(now).is_some(), age < START_FRESHNESS);
+            let answers = matches!(role.standing(now), Standing::Lead(_));
+            assert_eq!(answers, age < role.answering, "{age:?}");
+            if given_up.is_none() && role.reads_nothing(now) {
+                given_up = Some(age);
+            }
+        }
+        assert!(given_up.is_some_and(|age| age < role.answering));
+    }
+
     #[test]
     fn a_lead_ends_before_the_lease_and_is_followed_by_caretaking_for_a_while() {
         let now = Instant::now();
--- a/src/service.rs
+++ b/src/service.rs
@@ -247,6 +247,8 @@
     pub wake_round: Notify,
     /// Wakes the election.
     pub wake_leader: Notify,
+    /// Wakes who reads the records: a question came, or a lead needs its proof.
+    pub wake_reader: Notify,
 }
 
 /// A node whose contact is older than this while another node's is not can take no requests.
@@ -286,6 +288,7 @@
             metrics: Shelf::default(),
             wake_round: Notify::new(),
             wake_leader: Notify::new(),
+            wake_reader: Notify::new(),
             settings,
         })
     }
@@ -299,8 +302,21 @@
 
     /// A request to the state service failed.
     pub fn store_failed(&self) {
-        let mut contact = self.contact.lock();
-        contact.failing_since.get_or_insert_with(Instant::now);
+        let now = Instant::now();
+        let leads = {
+            let mut role = self.role.lock();
+            role.freshness().doubt(now);
+            role.own_term().is_some()
+        };
+        self.contact.lock().failing_since.get_or_insert(now);
+        if leads {
+            self.wake_reader.notify_one();
+        }
+    }
+
+    /// The replica and the picture have all that was confirmed before `sent`.
+    pub fn replica_complete(&self, sent: Instant) {
+        self.role.lock().freshness().proved(sent);
     }
 
     /// Whether this node can take requests. In an outage that all nodes share none is better
--- a/src/store/actor.rs
+++ b/src/store/actor.rs
@@ -33,8 +33,11 @@
 const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
 /// Conditions a transaction may have for every put or delete allowed.
 pub(super) const CONDITIONS_PER_OP: usize = 4;
-/// How long a watch stays open. Bounds how stale a replica can get when an answer is lost.
+/// How long a follower's watch stays open.
 pub const WATCH_HOLD: Duration = Duration::from_secs(4);
+/// How long a leader's does: its answer proves the replica complete up to its sending only, and
+/// starts want that proof to be recent.
+pub const LEADER_WATCH_HOLD: Duration = Duration::from_secs(1);
 /// Time for a watch's answer to arrive after it was due.
 pub const WATCH_GRACE: Duration = Duration::from_millis(1500);
 /// Part of `txn_ops`' byte limit used, as sizes are measured in another form than sent.
@@ -190,6 +193,7 @@
 
     fn handle(&mut self, Check(id): Check, _: &mut Self::Context) -> Self::Result {
         let answer = self.0.asking.ask(id);
+        self.0.shared.wake_reader.notify_one();
         Box::pin(async move { answer.await.unwrap_or(Err(StoreError::Unknown)) })
     }
 }
@@ -262,11 +266,10 @@
     }
 
     /// Notes whether a request sent then was answered.
-    pub(super) fn note(&self, sent: Instant, answered: bool) {
-        if answered {
-            self.shared.store_answered(sent);
-        } else {
-            self.shared.store_failed();
+    pub(super) fn note(&self, sent: Instant, failure: Option<&StoreError>) {
+        match failure {
+            Some(error) if error.contact_lost() => self.shared.store_failed(),
+            _ => self.shared.store_answered(sent),
         }
     }
 }
@@ -320,7 +323,7 @@
         }
         let sent = Instant::now();
         let outcome = inner.client.transact(&all).await;
-        inner.note(sent, !matches!(outcome, Outcome::Failed(_)));
+        inner.note(sent, outcome.failure());
         match outcome {
             Outcome::Conflict { failed, revision } => {
                 let (fallen, left): (Vec<_>, Vec<_>) = batch.into_iter().partition(|waiting| {
--- a/src/store/looks.rs
+++ b/src/store/looks.rs
@@ -11,10 +11,12 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::{select, Either};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::oneshot;
 use tracing::{debug, info};
 
-use super::actor::{CheckAnswer, Inner, CONDITIONS_PER_OP, WATCH_GRACE, WATCH_HOLD};
+use super::actor::{
+    CheckAnswer, Inner, CONDITIONS_PER_OP, LEADER_WATCH_HOLD, WATCH_GRACE, WATCH_HOLD,
+};
 use super::{keys, Condition, Follow, Group, Outcome, Row, StoreError};
 use crate::model::JobId;
 
@@ -33,7 +35,6 @@
 #[derive(Default)]
 pub(super) struct Asking {
     waiting: RefCell<BTreeMap<JobId, Replies>>,
-    came: Notify,
 }
 
 impl Asking {
@@ -41,7 +42,6 @@
     pub(super) fn ask(&self, id: JobId) -> oneshot::Receiver<CheckAnswer> {
         let (reply, answer) = oneshot::channel();
         self.waiting.borrow_mut().entry(id).or_default().push(reply);
-        self.came.notify_one();
         answer
     }
 
@@ -67,7 +67,7 @@
     loop {
         let result = if !loaded {
             load(&inner).await
-        } else if inner.asking.any() {
+        } else if read_wanted(&inner) {
             look(&inner).await
         } else {
             wait_for_changes(&inner).await
@@ -87,6 +87,11 @@
     }
 }
 
+/// Whether somebody waits for a read: a question, or a lead that needs its proof.
+fn read_wanted(inner: &Inner) -> bool {
+    inner.asking.any() || inner.shared.role.lock().wants_proof(Instant::now())
+}
+
 /// Who asks while the service can't be reached is told so at once.
 fn refuse_questions(inner: &Inner, error: &StoreError) {
     for replies in inner.asking.take().into_values() {
@@ -97,25 +102,25 @@
 /// Stays open until something changes, with looks in between for those who ask meanwhile.
 async fn wait_for_changes(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
     inner.pace(1.0, 0.0).await;
+    let leads = inner.shared.role.lock().own_term().is_some();
+    let hold = if leads { LEADER_WATCH_HOLD } else { WATCH_HOLD };
     let sent = Instant::now();
-    let mut watch = Box::pin(follow(inner, WATCH_HOLD, WATCH_HOLD + WATCH_GRACE));
+    let mut watch = Box::pin(follow(inner, hold, hold + WATCH_GRACE));
     loop {
-        let came = Box::pin(inner.asking.came.notified());
+        let came = Box::pin(inner.shared.wake_reader.notified());
         match select(watch, came).await {
             Either::Left((got, _)) => {
                 match &got {
-                    // A watch's answer proves contact at its end at the earliest.
-                    Ok(_) => inner.note(sent, true),
                     // In an outage watches stay open; only a look shows it.
                     Err(StoreError::Unknown) => {}
-                    Err(_) => inner.note(sent, false),
+                    got => inner.note(sent, got.as_ref().err()),
                 }
-                take(inner, &got?);
+                take(inner, &got?, sent);
                 return Ok(WATCH_PAUSE);
             }
             Either::Right(((), open)) => {
                 watch = open;
-                while inner.asking.any() {
+                while read_wanted(inner) {
                     let pause = look(inner).await?;
                     actix::clock::sleep(pause).await;
                 }
@@ -130,7 +135,7 @@
     let waiting = inner.asking.take();
     let sent = Instant::now();
     let got = follow(inner, Duration::ZERO, LOOK_LIMIT).await;
-    inner.note(sent, got.is_ok());
+    inner.note(sent, got.as_ref().err());
     let got = match got {
         Ok(got) => got,
         Err(error) => {
@@ -140,7 +145,7 @@
             return Err(error);
         }
     };
-    take(inner, &got);
+    take(inner, &got, sent);
     let mut unknown = BTreeMap::new();
     for (id, replies) in waiting {
         let known = inner.shared.replica.lock().verdict(&id);
@@ -177,7 +182,7 @@
         inner.pace(1.0, 0.0).await;
         let sent = Instant::now();
         let outcome = inner.client.transact(&group).await;
-        inner.note(sent, !matches!(outcome, Outcome::Failed(_)));
+        inner.note(sent, outcome.failure());
         let there = match outcome {
             Outcome::Committed(_) => Ok(Vec::new()),
             Outcome::Conflict { failed, .. } => Ok(failed),
@@ -199,7 +204,7 @@
     inner.pace(1.0, 0.0).await;
     let sent = Instant::now();
     let read = inner.client.get(&keys::job(id)).await;
-    inner.note(sent, read.is_ok());
+    inner.note(sent, read.as_ref().err());
     let Some(row) = read? else {
         return Ok(None);
     };
@@ -231,12 +236,14 @@
 async fn load(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
     let sent = Instant::now();
     let read = read_all(inner).await;
-    inner.note(sent, read.is_ok());
+    inner.note(sent, read.as_ref().err());
     let (rows, revision) = read?;
     info!(keys = rows.len(), revision, "records read");
     let news = inner.shared.replica.lock().load(rows, revision);
     inner.shared.revision.send_replace(revision);
     inner.shared.tell(&news);
+    // Pages read later are newer than the first; none is older.
+    inner.shared.replica_complete(sent);
     Ok(Duration::ZERO)
 }
 
@@ -245,8 +252,8 @@
     inner.client.follow(keys::ROOT, after, hold, limit).await
 }
 
-/// Takes what a watch or a look brought.
-fn take(inner: &Inner, got: &Follow) {
+/// Takes what a watch or a look that was sent then brought.
+fn take(inner: &Inner, got: &Follow, sent: Instant) {
     let (news, revision) = {
         let mut replica = inner.shared.replica.lock();
         let news = replica.apply(&got.events, got.revision);
@@ -254,4 +261,5 @@
     };
     inner.shared.revision.send_replace(revision);
     inner.shared.tell(&news);
+    inner.shared.replica_complete(sent);
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -34,6 +34,18 @@
     TooOld,
 }
 
+impl StoreError {
+    /// Whether it shows that the service can't be reached, and what others do there not be seen.
+    /// What is refused for the limits was answered.
+    pub fn contact_lost(&self) -> bool {
+        match self {
+            StoreError::Refused(status) => *status != 429,
+            StoreError::Unknown => true,
+            StoreError::Nonsense(_) | StoreError::LeaseOver | StoreError::TooOld => false,
+        }
+    }
+}
+
 /// A condition: the key has this version (0: does not exist).
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq, Eq)]
 pub struct Condition {
@@ -146,6 +158,14 @@
     pub fn committed(&self) -> bool {
         matches!(self, Outcome::Committed(_))
     }
+
+    /// Why it was not applied, or is not known to be.
+    pub fn failure(&self) -> Option<&StoreError> {
+        match self {
+            Outcome::Failed(error) => Some(error),
+            Outcome::Committed(_) | Outcome::Conflict { .. } => None,
+        }
+    }
 }
 
 /// A key with its value.
--- a/tests/common/scene.rs
+++ b/tests/common/scene.rs
@@ -338,7 +338,7 @@
         ));
         if own && verified == Verified::Newer {
             let id = MachineId(machine.into());
-            let orders = self.cluster.answer(&id, self.now);
+            let orders = self.cluster.answer(&id, self.now, true);
             if !orders.is_empty() {
                 self.note(&format!("answer to {machine}: {}", shown(&orders)));
             }
--- /dev/null
+++ b/tests/meetings.rs
@@ -0,0 +1,310 @@
+//! Meetings of troubles, at the border where a report is answered: what leaves, and what does not,
+//! by what this process knows at that moment.
+
+mod common;
+#[path = "common/scene.rs"]
+mod scene;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use ciborium::{cbor, Value};
+use knotlanding::api::workers::respond;
+use knotlanding::cluster::Cluster;
+use knotlanding::config::Settings;
+use knotlanding::leader::{Lead, OwnLease, LEASE};
+use knotlanding::model::{Attempt, JobId, MachineId, TaskId, Term, Verdict};
+use knotlanding::service::Shared;
+use knotlanding::store::keys::{self, JobRecord};
+use knotlanding::store::replica::News;
+use knotlanding::store::{to_value, Outcome, Row};
+use scene::{accepted, array, builds};
+
+/// A leader of one machine, with a clock that the test moves.
+struct Desk {
+    shared: Arc<Shared>,
+    start: Instant,
+    now: Instant,
+    seq: u64,
+    token: u64,
+    tasks: Vec<(String, u64)>,
+}
+
+const MACHINE: &str = "m-000001";
+
+impl Desk {
+    /// A leader whose records name one job of one task, with a fresh replica.
+    fn new() -> Self {
+        let text = common::settings_text(
+            "knot-0",
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            "127.0.0.1:3",
+            "127.0.0.1:4",
+        );
+        let shared = Shared::new(Settings::parse(&text, "a test").unwrap());
+        let start = Instant::now();
+        let rows = accepted(&array("wk-000001", 1), false).into_iter();
+        let rows = rows.enumerate().map(|(at, (key, value))| Row {
+            key,
+            value,
+            version: at as u64 + 1,
+        });
+        shared.replica.lock().load(rows.collect(), 10);
+        let cluster = Cluster::take_over(
+            Term(1),
+            &shared.settings,
+            &shared.replica.lock(),
+            Arc::new(builds()),
+            start,
+            SystemTime::now(),
+        );
+        *shared.cluster.lock() = Some(cluster);
+        let mut desk = Self {
+            shared,
+            start,
+            now: start,
+            seq: 0,
+            token: 0,
+            tasks: Vec::new(),
+        };
+        desk.shared.role.lock().lease = Some(OwnLease {
+            id: 7,
+            renewed: start,
+        });
+        desk.shared.role.lock().take(Lead {
+            term: Term(1),
+            version: 1,
+        });
+        desk.read();
+        // Twice, so that the machine shows our token and can be entered into the roster.
+        desk.report();
+        desk.report();
+        desk.write();
+        desk
+    }
+
+    fn at(&mut self, s: f64) -> &mut Self {
+        self.now = self.start + Duration::from_secs_f64(s);
+        self
+    }
+
+    /// The lease is renewed now.
+    fn renew(&self) {
+        self.shared.role.lock().renewed(self.now);
+    }
+
+    /// A read that was sent now has been answered.
+    fn read(&self) {
+        self.shared.replica_complete(self.now);
+    }
+
+    /// A request fails now.
+    fn fail(&self) {
+        self.shared.role.lock().freshness().doubt(self.now);
+    }
+
+    /// Another node has cancelled the job, and the watch brings it.
+    fn learn_of_the_cancellation(&self) {
+        let id = JobId::parse("wk-000001").unwrap();
+        let event = {
+            let live = self.shared.replica.lock().live[&id].record.clone();
+            let record = JobRecord {
+                verdict: Verdict::Cancelled,
+                tasks: 1,
+                live: Some(live),
+            };
+            knotlanding::store::Event {
+                put: Some(keys::job(&id)),
+                delete: None,
+                value: Some(to_value(&record)),
+                version: 20,
+            }
+        };
+        let news = self.shared.replica.lock().apply(&[event], 20);
+        assert_eq!(news, [News::Job(id)]);
+        self.shared.tell(&news);
+        self.read();
+    }
+
+    /// Plans a start of the job's task on the machine, and writes what has to be written first.
+    fn plan(&mut self) {
+        let task = TaskId {
+            job: JobId::parse("wk-000001").unwrap(),
+            index: 0,
+        };
+        let attempt = Attempt::of(Term(1), 1);
+        let mut guard = self.shared.cluster.lock();
+        let cluster = guard.as_mut().unwrap();
+        cluster.plan(&task, &MachineId(MACHINE.into()), attempt, self.now);
+        drop(guard);
+        self.write();
+    }
+
+    fn write(&self) {
+        let replica = self.shared.replica.lock();
+        let mut guard = self.shared.cluster.lock();
+        let cluster = guard.as_mut().unwrap();
+        for write in cluster.due_writes(&replica, self.now) {
+            cluster.written(&write.kind, &Outcome::Committed(11));
+        }
+    }
+
+    /// The machine's next report; the status, and the verbs that it is answered with. It does
+    /// what it is told.
+    fn report(&mut self) -> (u16, Vec<String>) {
+        self.seq += 1;
+        let tasks: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|(task, attempt)| {
+                cbor!({"strand" => task, "try" => attempt, "status" => "running"}).unwrap()
+            })
+            .collect();
+        let report = cbor!({
+            "host" => MACHINE, "address" => "127.0.0.1:9", "build" => "gpu2", "yard" => "north",
+            "loaners" => false, "tenure" => 1, "tally" => self.seq, "baton" => self.token,
+            "strands" => tasks,
+        });
+        let mut body = Vec::new();
+        ciborium::into_writer(&report.unwrap(), &mut body).unwrap();
+        let now = self.now;
+        let answer = respond(&self.shared, Ok(body.into()), &|| now);
+        let status = answer.status().as_u16();
+        let body =
+            futures_util::FutureExt::now_or_never(actix_web::body::to_bytes(answer.into_body()));
+        let body: Value = ciborium::from_reader(&*body.unwrap().unwrap()).unwrap();
+        let get = |value: &Value, name: &str| {
+            let map = value.as_map().unwrap().iter();
+            let mut found = map.filter(|(key, _)| key.as_text() == Some(name));
+            found.next().map(|(_, value)| value.clone())
+        };
+        if let Some(token) = get(&body, "baton").and_then(|t| t.as_integer()) {
+            self.token = u64::try_from(token).unwrap();
+        }
+        let orders = get(&body, "orders");
+        let orders = orders.and_then(|o| o.into_array().ok()).unwrap_or_default();
+        let mut verbs = Vec::new();
+        for order in orders {
+            let verb = get(&order, "verb").unwrap().into_text().unwrap();
+            let task = get(&order, "strand").unwrap().into_text().unwrap();
+            let attempt = get(&order, "try").unwrap().into_integer().unwrap();
+            if verb == "run" {
+                self.tasks.push((task, u64::try_from(attempt).unwrap()));
+            } else {
+                self.tasks.retain(|(known, _)| *known != task);
+            }
+            verbs.push(verb);
+        }
+        (status, verbs)
+    }
+
+    /// How long after `self.start` the last 200 was, answering every second until `until`.
+    fn last_answer(&mut self, until: u32, mut each: impl FnMut(&Self)) -> u32 {
+        let first = (self.now - self.start).as_secs() as u32;
+        let mut last = first;
+        for s in first..until {
+            self.at(f64::from(s));
+            each(self);
+            if self.report().0 == 200 {
+                last = s;
+            }
+        }
+        last
+    }
+}
+
+/// The meeting before all others: the state service refuses the leader alone, jobs are cancelled
+/// through others, then it is out for all, and afterwards every lease has its full time again.
+#[test]
+fn a_start_planned_before_a_gap_never_leaves_once_its_job_was_cancelled_in_it() {
+    let mut desk = Desk::new();
+    desk.plan();
+    desk.at(1.0).fail();
+    assert_eq!(desk.at(1.5).report(), (200, vec![]), "contact may be lost");
+    desk.at(64.0).renew();
+    let (status, orders) = desk.at(64.1).report();
+    assert_eq!(
+        (status, orders.len()),
+        (503, 0),
+        "leads, with an old replica"
+    );
+    desk.at(64.3).learn_of_the_cancellation();
+    assert_eq!(desk.at(64.4).report(), (200, vec![]), "it knows now");
+}
+
+/// The same without a cancellation: the start leaves as soon as the replica is proved complete.
+#[test]
+fn a_start_that_waited_for_the_proof_leaves_with_it() {
+    let mut desk = Desk::new();
+    desk.plan();
+    desk.at(1.0).fail();
+    assert_eq!(desk.at(1.2).report(), (200, vec![]));
+    desk.at(1.3).read();
+    assert_eq!(desk.at(1.4).report(), (200, vec!["run".to_owned()]));
+}
+
+/// A process that stood still has an old replica, whatever its lease says when it wakes up.
+#[test]
+fn no_start_leaves_after_standing_still_before_the_next_read() {
+    let mut desk = Desk::new();
+    desk.plan();
+    desk.at(9.0).renew();
+    assert_eq!(desk.report(), (200, vec![]));
+    desk.at(9.2).read();
+    assert_eq!(desk.report(), (200, vec!["run".to_owned()]));
+}
+
+/// Whatever was cancelled unseen is gone in time: the last 200 leaves a lease before the end of a
+/// cancellation that was confirmed just after the replica was last complete. So for a leader
+/// whose renewals succeed while its reads don't, and for one that has lost both.
+#[test]
+fn the_last_answer_of_a_leader_that_reads_nothing_lets_no_task_outlive_a_cancellation() {
+    for renews in [true, false] {
+        let mut desk = Desk::new();
+        desk.plan();
+        desk.at(0.5).read();
+        assert_eq!(desk.report().1, ["run"]);
+        let workers = desk.shared.settings.params.workers.clone();
+        let last = desk.last_answer(120, |desk| {
+            if renews {
+                desk.renew();
+            }
+        });
+        let gone = f64::from(last) + workers.lease_s;
+        assert!(gone < 0.5 + workers.cancel_s, "{last} s");
+        assert!(
+            f64::from(last) > LEASE.as_secs_f64(),
+            "work goes on for a while"
+        );
+    }
+}
+
+/// Two cuts one after the other, each short: no read between them, so they count as one.
+#[test]
+fn renewals_between_two_cuts_do_not_lengthen_the_time() {
+    let mut once = Desk::new();
+    let mut twice = Desk::new();
+    let last_once = once.last_answer(60, |desk| desk.fail());
+    let last_twice = twice.last_answer(60, |desk| {
+        desk.fail();
+        if (desk.now - desk.start).as_secs() == 8 {
+            desk.renew();
+        }
+    });
+    assert!(last_twice >= last_once);
+    let workers = &twice.shared.settings.params.workers;
+    assert!(f64::from(last_twice) + workers.lease_s < workers.cancel_s);
+}
+
+/// Cancelled jobs' tasks are stopped by whoever answers reports, without starts too.
+#[test]
+fn a_caretaker_that_knows_of_a_cancellation_kills_the_task() {
+    let mut desk = Desk::new();
+    desk.plan();
+    assert_eq!(desk.at(0.5).report().1, ["run"]);
+    assert_eq!(desk.at(1.0).report(), (200, vec![]));
+    desk.at(2.0).learn_of_the_cancellation();
+    // Past its lease by now.
+    assert_eq!(desk.at(6.0).report(), (200, vec!["kill".to_owned()]));
+}
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -724,6 +724,7 @@
             renewed: start,
         });
         role.take(Lead { term, version: 1 });
+        role.freshness().proved(start);
     }
     // The first look at the clock comes at once, all others after the pause.
     let answered = |pause: Duration| {
