Meetings are played against a model; cancellations are told to all nodes

tests/interleavings.rs: three controllers' own parts against a model of state service, cloud, workers and users, in orders drawn from fixed seeds, with the protocol's rules checked after every step. Found by it, then by reading: a task planned anew that an old report shows as done kept its plan for ever and its job never ended (trace in troubles.rs). Mended: the plan is dropped. A node that confirms a cancellation tells the other nodes directly; whoever answers reports kills those tasks. An answer looks at what is final by now, and one after standing still is withheld. Ruled out: taking all members of a gang as done when one is: the design restarts unfinished ones.

--- a/docs/days/make_days.py
+++ b/docs/days/make_days.py
@@ -79,7 +79,7 @@
     """Troubles to draw from, each beginning about then."""
     t = at + rng.uniform(0.0, 6.0)
     length = rng.choice([4.0, 8.0, 15.0, 25.0, 40.0, 60.0])
-    mode = rng.choice(["hold", "reset", "refuse"])
+    mode = rng.choice(["hold", "reset"])
     return [
         [cut_from_state(t, min(length, 25.0), rng.choice(["hold", "refuse"]))],
         [cut_from_state(t, 12.0), fault(t + rng.uniform(0.5, 4.0), "state_outage", for_s=length)],
--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -1,5 +1,6 @@
 //! Owner of what the nodes tell each other: the leader's digest.
 
+use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -34,7 +35,7 @@
 /// A peer as far as digests go.
 struct Peer {
     member: String,
-    address: std::net::SocketAddrV4,
+    address: SocketAddrV4,
     /// It said that it lacks what changes build on.
     lacks: Arc<AtomicBool>,
 }
@@ -78,6 +79,9 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
+        let peers = self.peers.iter().map(|peer| peer.address).collect();
+        let told = tell_cancelled(self.shared.clone(), self.http.clone(), peers);
+        actix::spawn(told);
         ctx.run_interval(TELL_EVERY, |actor, _| {
             let now = Instant::now();
             let missed = now.saturating_duration_since(actor.last);
@@ -93,6 +97,37 @@
     }
 }
 
+/// Tells the other nodes of cancellations as they are confirmed, for as long as the process lives.
+/// Who can't be told within the limit learns it from the records.
+async fn tell_cancelled(shared: Arc<Shared>, http: Client, peers: Vec<SocketAddrV4>) {
+    loop {
+        shared.wake_peers.notified().await;
+        let jobs = std::mem::take(&mut *shared.cancelled.lock());
+        if jobs.is_empty() || peers.is_empty() {
+            continue;
+        }
+        let member = shared.settings.member.clone();
+        let Some(body) = peer::encode(&peer::Cancelled { member, jobs }) else {
+            continue;
+        };
+        let told = peers.iter().map(|address| {
+            let sent = http
+                .post(format!("http://{address}{}", peer::CANCELLED))
+                .timeout(TELL_LIMIT)
+                .content_type(peer::BINCODE)
+                .send_body(body.clone());
+            async move {
+                if let Ok(mut answer) = sent.await {
+                    // Read to its end so that the connection can be used again.
+                    let _ = answer.body().await;
+                }
+            }
+        });
+        // One list at a time: what comes meanwhile gathers for the next.
+        futures_util::future::join_all(told).await;
+    }
+}
+
 impl PeersActor {
     /// Tells what changed; all of it only to who lacks it. Only a leader has anything to tell.
     fn tell(&mut self) {
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -36,8 +36,14 @@
     }
 }
 
-/// A job's state as its user may see it.
+/// A job's state as its user may see it. What is final by now is told, though it was not when it
+/// was looked up: the process may have stood still since, and another node have told it.
 fn state(shared: &Shared, id: &JobId, verdict: Verdict, tasks: u32) -> JobState {
+    let known = shared.replica.lock().jobs.get(id).map(|job| job.record);
+    let (verdict, tasks) = match known {
+        Some(known @ (Verdict::Done | Verdict::Cancelled, _)) => known,
+        _ => (verdict, tasks),
+    };
     let (done, running) = match verdict {
         Verdict::Done => (tasks, 0),
         Verdict::Cancelled => (0, 0),
@@ -154,8 +160,9 @@
         Err(error) => return problem(StatusCode::BAD_REQUEST, error.to_string()),
     };
     let answer = match actix::clock::timeout(SUBMIT_LIMIT, accept(&shared, &store, spec)).await {
-        Ok(answer) => answer,
-        Err(_) => refusal(&StoreError::Unknown),
+        // After standing still another node may have told something newer than this answer.
+        Ok(answer) if began.elapsed() < SUBMIT_LIMIT => answer,
+        _ => refusal(&StoreError::Unknown),
     };
     let mut metrics = shared.metrics.lock();
     metrics.submissions.add(began.elapsed());
@@ -248,9 +255,10 @@
     let Some(id) = JobId::parse(&path) else {
         return problem(StatusCode::NOT_FOUND, "no such job");
     };
+    let began = Instant::now();
     match actix::clock::timeout(SUBMIT_LIMIT, cancel(&shared, &store, &id)).await {
-        Ok(answer) => answer,
-        Err(_) => refusal(&StoreError::Unknown),
+        Ok(answer) if began.elapsed() < SUBMIT_LIMIT => answer,
+        _ => refusal(&StoreError::Unknown),
     }
 }
 
@@ -286,6 +294,7 @@
         match outcome.unwrap_or(Outcome::Failed(StoreError::Unknown)) {
             Outcome::Committed(_) => {
                 info!(job = %id, "cancelled");
+                shared.cancelled_here(id);
                 let cancelled = state(shared, id, Verdict::Cancelled, tasks);
                 return cbor(StatusCode::OK, &cancelled);
             }
--- a/src/cluster/job.rs
+++ b/src/cluster/job.rs
@@ -81,6 +81,8 @@
     pub version: u64,
     /// Its verdict.
     pub verdict: Verdict,
+    /// Cancelled for good, though our replica does not show it yet.
+    pub called_off: bool,
     /// Whether the record says that starts may have been sent.
     pub started: Durable,
     /// Started in an earlier term: until all machines of that time are settled, tasks of it
@@ -149,9 +151,14 @@
         self.started == Durable::Yes && self.sent.covers(machine)
     }
 
+    /// Whether anybody wants it to run.
+    pub fn wanted(&self) -> bool {
+        self.verdict == Verdict::Accepted && !self.called_off
+    }
+
     /// Whether tasks of it may still be started.
     pub fn open(&self) -> bool {
-        self.verdict == Verdict::Accepted && self.done.len() < self.spec.tasks
+        self.wanted() && self.done.len() < self.spec.tasks
     }
 
     /// Whether it is a gang.
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -328,6 +328,19 @@
         }
     }
 
+    /// The job is cancelled for good, by what another node says; the records will show it.
+    pub fn call_off(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.called_off || job.verdict != crate::model::Verdict::Accepted {
+            return;
+        }
+        job.called_off = true;
+        self.dirty = true;
+        self.stop_job(id, 0.0);
+    }
+
     /// All places of a job.
     pub fn slots_of(&self, id: &JobId) -> Vec<(MachineId, SlotId)> {
         let Some(job) = self.jobs.get(id) else {
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -160,6 +160,10 @@
             let rested = job
                 .progress_at
                 .is_none_or(|at| now.saturating_duration_since(at) >= PROGRESS_EVERY);
+            if job.called_off && job.verdict == Verdict::Accepted {
+                // The records say otherwise, and will be seen to in a moment.
+                continue;
+            }
             let (kind, apply, urgency) = match job.verdict {
                 Verdict::Accepted if all_done && !job.placed() => (
                     RecordKind::Finished(id.clone()),
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -8,7 +8,7 @@
 use super::machine::{Drain, Hearing, Machine, Phase, Slot, SlotId};
 use super::{build_named, Cluster, Place};
 use crate::config::secs;
-use crate::model::{Attempt, JobId, MachineId, TaskId, Token, Verdict};
+use crate::model::{Attempt, JobId, MachineId, TaskId, Token};
 use crate::wire::{Cause, Order, Report, TaskPhase};
 
 /// Jobs of which a machine's pace is compared with the others'.
@@ -349,8 +349,11 @@
         match cause {
             Cause::Done => {
                 if let Some(job) = self.jobs.get_mut(job_id) {
-                    job.done.insert(slot.task.index);
+                    if slot.task.index < job.spec.tasks {
+                        job.done.insert(slot.task.index);
+                    }
                 }
+                self.drop_plans(&slot.task);
                 self.succeeded(id, job_id);
                 self.note_pace(id, slot, now);
             }
@@ -367,6 +370,32 @@
         }
     }
 
+    /// A task has completed, as an old report of a machine that had been given up shows: where it
+    /// was planned anew nothing was sent, and nothing else would ever end that plan.
+    fn drop_plans(&mut self, task: &TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let places = job.places.get(&task.index).into_iter().flatten();
+        let plans: Vec<(MachineId, SlotId)> = places
+            .map(|place| {
+                let slot = SlotId {
+                    task: task.clone(),
+                    attempt: place.attempt,
+                };
+                (place.machine.clone(), slot)
+            })
+            .filter(|(machine, slot)| {
+                let machine = self.machines.get(machine);
+                let state = machine.and_then(|machine| machine.slots.get(slot));
+                state.is_some_and(|state| !state.sent())
+            })
+            .collect();
+        for (machine, slot) in plans {
+            self.drop_slot(&machine, &slot);
+        }
+    }
+
     /// Compares how long a task ran with its estimate, and the machine's record with that of
     /// all: estimates are often wrong by half, but not for several jobs on one machine only.
     fn note_pace(&mut self, id: &MachineId, slot: &SlotId, now: Instant) {
@@ -428,9 +457,7 @@
             let job = self.jobs.get(&slot.task.job);
             if let Phase::Exited(cause) = state.phase {
                 let keep = cause == Cause::Done
-                    && job.is_some_and(|job| {
-                        job.verdict == Verdict::Accepted && !job.done.is_durable(slot.task.index)
-                    });
+                    && job.is_some_and(|job| job.wanted() && !job.done.is_durable(slot.task.index));
                 if !keep {
                     orders.push(Order::Clear {
                         task: slot.task.to_string(),
@@ -439,9 +466,7 @@
                 }
                 continue;
             }
-            let wanted = job.is_some_and(|job| {
-                job.verdict == Verdict::Accepted && !job.done.contains(slot.task.index)
-            });
+            let wanted = job.is_some_and(|job| job.wanted() && !job.done.contains(slot.task.index));
             if !wanted && state.sent() && state.stop.is_none_or(|stop| stop.grace_s > 0.0) {
                 state.stop = Some(super::Stop {
                     grace_s: 0.0,
--- a/src/cluster/sync.rs
+++ b/src/cluster/sync.rs
@@ -83,6 +83,7 @@
             submitted_ms: record.submitted_ms,
             version: verdict.version,
             verdict: verdict.record.0,
+            called_off: false,
             started: if started { Durable::Yes } else { Durable::No },
             inherited: started,
             sent,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -16,11 +16,16 @@
 pub const DIGEST: &str = "/peer/digest";
 /// Path of the question whether a node has the state service.
 pub const PULSE: &str = "/peer/pulse";
+/// Path of what users called off.
+pub const CANCELLED: &str = "/peer/cancelled";
 /// Content type between the nodes.
 pub const BINCODE: &str = "application/x-bincode";
 /// Largest digest taken: several thousand machines with ten images each, and their jobs.
 pub const DIGEST_LIMIT: usize = 2 * 1024 * 1024;
 
+/// Largest list of cancelled jobs taken: more than wait at once, see [`crate::service::Shared`].
+const CANCELLED_LIMIT: usize = 64 * 1024;
+
 /// What a leader tells the others once a second. All of it is for display or a hint, and
 /// nothing that must be right hangs on it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -50,6 +55,18 @@
     pub gone: Vec<MachineId>,
 }
 
+/// Jobs whose cancellation is on record, told to the other nodes at once: one that the state
+/// service refuses alone, and that answers reports for a while yet, learns it no other way. It
+/// makes the end of their tasks sooner; that they end in time rests on
+/// [`crate::leader::Freshness`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Cancelled {
+    /// Who tells.
+    pub member: String,
+    /// The jobs.
+    pub jobs: Vec<JobId>,
+}
+
 /// Completed and running tasks of a job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Counts {
@@ -174,6 +191,19 @@
     answer.content_type(BINCODE).body(heard)
 }
 
+/// Takes what users called off at another node.
+pub async fn cancelled(shared: web::Data<Shared>, body: web::Bytes) -> HttpResponse {
+    let Some(told) = decode::<Cancelled>(&body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let mut known = shared.settings.known.iter();
+    if !known.any(|peer| peer.member == told.member) {
+        return HttpResponse::Forbidden().finish();
+    }
+    shared.call_off(&told.jobs);
+    HttpResponse::NoContent().finish()
+}
+
 /// The routes between nodes.
 pub fn routes(config: &mut web::ServiceConfig) {
     config.service(
@@ -181,6 +211,11 @@
             .app_data(web::PayloadConfig::new(DIGEST_LIMIT))
             .route(web::post().to(digest)),
     );
+    config.service(
+        web::resource(CANCELLED)
+            .app_data(web::PayloadConfig::new(CANCELLED_LIMIT))
+            .route(web::post().to(cancelled)),
+    );
     config.route(PULSE, web::get().to(pulse));
 }
 
--- a/src/service.rs
+++ b/src/service.rs
@@ -17,7 +17,7 @@
 use crate::fleet::Thrift;
 use crate::leader::Role;
 use crate::metrics::Metrics;
-use crate::model::MachineId;
+use crate::model::{JobId, MachineId};
 use crate::peer::Told;
 use crate::sched::Policy;
 use crate::sockets::Sockets;
@@ -245,6 +245,10 @@
     pub metrics: Shelf<Metrics>,
     /// Wakes the round.
     pub wake_round: Notify,
+    /// Jobs cancelled here that the other nodes have not been told of.
+    pub cancelled: Shelf<Vec<JobId>>,
+    /// Wakes who tells them.
+    pub wake_peers: Notify,
     /// Wakes the election.
     pub wake_leader: Notify,
     /// Wakes who reads the records: a question came, or a lead needs its proof.
@@ -254,6 +258,9 @@
 /// A node whose contact is older than this while another node's is not can take no requests.
 const CONTACT_LOST: Duration = Duration::from_secs(4);
 
+/// Cancelled jobs that may wait to be told to the other nodes. Their watches bring the rest.
+const MOST_CANCELLED: usize = 1024;
+
 /// Bytes that a final verdict takes with its key, in a table that has just grown.
 const VERDICT_BYTES: f64 = 160.0;
 /// Part of the memory for them.
@@ -287,6 +294,8 @@
             astray: Shelf::default(),
             metrics: Shelf::default(),
             wake_round: Notify::new(),
+            cancelled: Shelf::default(),
+            wake_peers: Notify::new(),
             wake_leader: Notify::new(),
             wake_reader: Notify::new(),
             settings,
@@ -333,6 +342,28 @@
         (loaded && !failing) || !(peer_fine || alone)
     }
 
+    /// A cancellation is on record: what runs of the job is stopped at once where we answer for
+    /// it, and the other nodes are to hear of it. Nobody waits for that.
+    pub fn cancelled_here(&self, id: &JobId) {
+        self.call_off(std::slice::from_ref(id));
+        let mut waiting = self.cancelled.lock();
+        if waiting.len() < MOST_CANCELLED {
+            waiting.push(id.clone());
+        }
+        drop(waiting);
+        self.wake_peers.notify_one();
+    }
+
+    /// Jobs are cancelled for good, whatever our replica says yet.
+    pub fn call_off(&self, ids: &[JobId]) {
+        if let Some(cluster) = self.cluster.lock().as_mut() {
+            for id in ids {
+                cluster.call_off(id);
+            }
+        }
+        self.wake_round.notify_one();
+    }
+
     /// Connections open on the public address.
     pub fn open(&self) -> usize {
         self.connections.load(Ordering::Relaxed)
--- /dev/null
+++ b/tests/interleavings.rs
@@ -0,0 +1,328 @@
+//! Meetings of troubles, played by three controllers against a model of everything around them, in
+//! orders drawn from fixed seeds; the protocol's rules are checked after every step.
+
+mod common;
+#[path = "common/scene.rs"]
+mod scene;
+#[path = "common/world.rs"]
+mod world;
+
+use knotlanding::model::{JobSpec, Rank};
+use scene::{array, gang};
+use world::{trouble, Fault, Trouble, World};
+
+/// How long after the last trouble everything must be over.
+const PATIENCE: f64 = 260.0;
+
+fn settings() -> String {
+    let text = common::settings_text(
+        "knot-0",
+        "127.0.0.1:1",
+        "127.0.0.1:2",
+        "127.0.0.1:3",
+        "127.0.0.1:4",
+    );
+    text.replace("count = 1", "count = 3")
+        .replace("report_s = 0.5", "report_s = 3.0")
+}
+
+/// The jobs of every play: gangs in one zone, arrays, single tasks, one team near its limit.
+fn jobs(at: usize) -> (JobSpec, f64) {
+    let id = format!("wk-{:06}", at + 1);
+    match at % 5 {
+        0 => (gang(&id, 2), 25.0),
+        1 => (array(&id, 3), 12.0),
+        2 => {
+            let mut job = array(&id, 1);
+            job.rank = Rank::BestEffort;
+            (job, 6.0)
+        }
+        3 => {
+            let mut job = array(&id, 2);
+            job.team = "blue".to_owned();
+            (job, 40.0)
+        }
+        _ => (gang(&id, 3), 15.0),
+    }
+}
+
+/// Plays the troubles with jobs that come all the while; nothing may break, and all must end.
+fn play(seed: u64, troubles: &[Trouble]) -> World {
+    let mut world = World::new(seed, &settings());
+    let last = troubles.iter().map(|t| t.at + t.lasts).fold(20.0, f64::max);
+    let count = (last / 4.0) as usize;
+    for at in 0..count {
+        world.play(2.0 + at as f64 * 4.0, troubles);
+        let (spec, run_s) = jobs(at);
+        world.want(spec, run_s);
+    }
+    world.play(last + PATIENCE, troubles);
+    assert_eq!(
+        world.broken,
+        Vec::<String>::new(),
+        "seed {seed}: {troubles:?}"
+    );
+    let unfinished = world.unfinished();
+    let why: Vec<String> = unfinished.iter().map(|id| world.explain(id)).collect();
+    assert!(
+        unfinished.is_empty(),
+        "seed {seed}: {unfinished:?}: {why:#?}\n{troubles:?}"
+    );
+    assert!(world.starts >= count, "seed {seed}: work was done");
+    world
+}
+
+fn seeds(seeds: std::ops::Range<u64>, troubles: impl Fn(f64) -> Vec<Trouble>) -> Vec<World> {
+    seeds
+        .map(|seed| play(seed, &troubles((seed % 7) as f64)))
+        .collect()
+}
+
+#[test]
+fn a_quiet_day_breaks_nothing() {
+    let worlds = seeds(1..4, |_| Vec::new());
+    assert!(worlds.iter().all(|world| world.take_overs == 1));
+}
+
+/// Seeds of every scene; more are played by `KNOTLANDING_SEEDS` when hunting.
+fn drawn() -> std::ops::Range<u64> {
+    let more = std::env::var("KNOTLANDING_SEEDS").ok();
+    1..more.and_then(|n| n.parse().ok()).unwrap_or(5)
+}
+
+fn late(share: f64, at_once: bool) -> Fault {
+    Fault::LateWrites { share, at_once }
+}
+
+fn copies(share: f64, for_next: bool) -> Fault {
+    Fault::LateReports { share, for_next }
+}
+
+#[test]
+fn the_gap_refused_alone_then_an_outage_longer_than_a_cancellation_may_take() {
+    for (before, outage) in [(0.5, 63.0), (2.0, 63.0), (4.5, 25.0), (2.0, 8.0)] {
+        seeds(drawn(), |d| {
+            vec![
+                trouble(30.0 + d, before + 1.0, Fault::RefuseLeader),
+                trouble(30.2 + d, 0.0, Fault::CancelNow(3)),
+                trouble(30.0 + d + before, outage, Fault::StoreOut),
+                trouble(30.3 + d + before, 0.0, Fault::CancelNow(2)),
+            ]
+        });
+    }
+}
+
+#[test]
+fn the_gap_with_hung_machines_and_the_old_leader_ended_within() {
+    seeds(drawn(), |d| {
+        vec![
+            trouble(30.0 + d, 4.0, Fault::RefuseLeader),
+            trouble(30.4 + d, 0.0, Fault::CancelNow(4)),
+            trouble(30.5 + d, 38.0, Fault::Hang(0.4)),
+            trouble(32.0 + d, 63.0, Fault::StoreOut),
+            trouble(40.0 + d, 0.0, Fault::CrashLeader(0.3)),
+        ]
+    });
+}
+
+#[test]
+fn two_cuts_one_after_the_other_and_slow_answers_instead_of_refusals() {
+    seeds(drawn(), |d| {
+        vec![
+            trouble(30.0 + d, 2.5, Fault::RefuseLeader),
+            trouble(31.0 + d, 0.0, Fault::CancelNow(2)),
+            trouble(33.0 + d, 2.5, Fault::RefuseLeader),
+            trouble(34.0 + d, 0.0, Fault::CancelNow(2)),
+            trouble(36.0 + d, 30.0, Fault::StoreSlow(2.0)),
+            trouble(40.0 + d, 0.0, Fault::CancelNow(3)),
+        ]
+    });
+}
+
+/// A leader whose renewals succeed while its reads don't would lead for ever with its replica.
+#[test]
+fn renewals_that_succeed_while_reads_do_not_end_the_lead_in_time() {
+    let worlds = seeds(drawn(), |d| {
+        vec![
+            trouble(25.0 + d, 70.0, Fault::NoReads),
+            trouble(26.0 + d, 0.0, Fault::CancelNow(3)),
+            trouble(30.0 + d, 0.0, Fault::CancelNow(3)),
+        ]
+    });
+    assert!(worlds.iter().all(|world| world.take_overs > 1));
+}
+
+#[test]
+fn jobs_cancelled_while_the_lead_changes_hands() {
+    seeds(drawn(), |d| {
+        vec![
+            trouble(25.0 + d, 0.0, Fault::CancelNow(3)),
+            trouble(25.1 + d, 0.0, Fault::CrashLeader(2.0)),
+            trouble(26.5 + d, 0.0, Fault::CancelNow(3)),
+            trouble(40.0 + d, 12.0, Fault::CutFromWorkers),
+            trouble(44.0 + d, 0.0, Fault::CancelNow(3)),
+            trouble(60.0 + d, 7.0, Fault::FreezeLeader),
+            trouble(62.0 + d, 0.0, Fault::CancelNow(3)),
+        ]
+    });
+}
+
+#[test]
+fn late_copies_of_reports_and_copies_kept_for_the_next_leader() {
+    let worlds = seeds(drawn(), |d| {
+        vec![
+            trouble(10.0, 80.0, copies(0.4, true)),
+            trouble(30.0 + d, 0.0, Fault::CrashLeader(1.0)),
+            trouble(45.0 + d, 30.0, copies(0.4, false)),
+            trouble(60.0 + d, 0.0, Fault::CrashLeader(0.2)),
+            trouble(75.0 + d, 0.0, Fault::CrashAll(0.5)),
+        ]
+    });
+    assert!(worlds.iter().all(|world| world.kept_delivered > 0));
+}
+
+#[test]
+fn transactions_carried_out_late_or_with_their_answers_lost() {
+    for at_once in [false, true] {
+        seeds(drawn(), |d| {
+            vec![
+                trouble(10.0, 60.0, late(0.3, at_once)),
+                trouble(30.0 + d, 0.0, Fault::CrashLeader(0.3)),
+                trouble(35.0 + d, 0.0, Fault::CancelNow(4)),
+                trouble(50.0 + d, 0.0, Fault::CrashLeader(5.0)),
+                trouble(55.0 + d, 0.0, Fault::CancelNow(2)),
+            ]
+        });
+    }
+}
+
+#[test]
+fn machines_that_hear_nothing_or_reach_nobody_through_changes_of_leader() {
+    for deaf in [true, false] {
+        seeds(drawn(), |d| {
+            let away = if deaf {
+                Fault::Deaf(0.5)
+            } else {
+                Fault::Mute(0.5)
+            };
+            vec![
+                trouble(25.0 + d, 35.0, away.clone()),
+                trouble(27.0 + d, 0.0, Fault::CrashLeader(1.0)),
+                trouble(30.0 + d, 0.0, Fault::CancelNow(4)),
+                trouble(65.0 + d, 15.0, away),
+                trouble(70.0 + d, 0.0, Fault::CrashLeader(0.2)),
+            ]
+        });
+    }
+}
+
+#[test]
+fn cancelled_jobs_on_machines_that_hang_while_the_leader_changes_and_teams_are_at_their_limit() {
+    seeds(drawn(), |d| {
+        vec![
+            trouble(30.0 + d, 25.0, Fault::Hang(0.4)),
+            trouble(31.0 + d, 0.0, Fault::CancelNow(6)),
+            trouble(32.0 + d, 0.0, Fault::CrashLeader(4.0)),
+            trouble(33.0 + d, 18.0, Fault::Hang(0.3)),
+            trouble(36.0 + d, 10.0, Fault::Deaf(0.3)),
+        ]
+    });
+}
+
+#[test]
+fn ten_leaders_in_two_minutes_also_within_an_outage() {
+    let worlds = seeds(drawn(), |d| {
+        let mut troubles: Vec<Trouble> = (0..10)
+            .map(|n| {
+                let back = if n % 2 == 0 { 0.2 } else { 6.0 };
+                trouble(
+                    20.0 + d + f64::from(n) * 11.0,
+                    0.0,
+                    Fault::CrashLeader(back),
+                )
+            })
+            .collect();
+        troubles.push(trouble(70.0, 9.0, Fault::StoreOut));
+        troubles.push(trouble(100.0, 0.0, Fault::CancelNow(3)));
+        troubles
+    });
+    assert!(worlds.iter().all(|world| world.take_overs > 6));
+}
+
+#[test]
+fn all_controllers_away_for_longer_than_a_lease_and_one_back_at_once() {
+    seeds(drawn(), |d| {
+        vec![
+            trouble(30.0 + d, 0.0, Fault::CrashAll(28.0)),
+            trouble(62.0 + d, 0.0, Fault::CancelNow(3)),
+            trouble(63.0 + d, 0.0, Fault::CrashAll(0.1)),
+            trouble(63.4 + d, 0.0, Fault::CrashLeader(0.1)),
+        ]
+    });
+}
+
+#[test]
+fn jobs_called_off_at_the_moment_of_their_end() {
+    for lost in [0.0, 0.3] {
+        let worlds = seeds(drawn(), |_| {
+            vec![
+                trouble(3.0, 70.0, Fault::CancelAtEnd(0.7)),
+                trouble(5.0, 70.0, late(lost, true)),
+            ]
+        });
+        assert!(worlds.iter().any(|world| world.over().1 > 0));
+        assert!(worlds.iter().any(|world| world.over().0 > 0));
+    }
+}
+
+#[test]
+fn machines_that_die_or_are_new_while_writes_lag_and_the_leader_ends() {
+    seeds(drawn(), |d| {
+        vec![
+            trouble(20.0, 60.0, late(0.4, false)),
+            trouble(25.0 + d, 0.0, Fault::Die(4)),
+            trouble(27.0 + d, 0.0, Fault::CrashLeader(0.5)),
+            trouble(45.0 + d, 0.0, Fault::Die(3)),
+            trouble(46.0 + d, 0.0, Fault::CrashLeader(3.0)),
+        ]
+    });
+}
+
+/// Two or three troubles drawn, again and again. A seed that broke a rule is kept below.
+#[test]
+fn whatever_meets_breaks_no_rule() {
+    use rand::{rngs::StdRng, Rng, SeedableRng};
+    for seed in drawn() {
+        let mut rng = StdRng::seed_from_u64(seed * 7919);
+        let mut troubles = Vec::new();
+        for at in [20.0, 60.0, 100.0] {
+            for _ in 0..rng.random_range(2..4) {
+                let at = at + rng.random_range(0.0..6.0);
+                let lasts = [2.0, 6.0, 15.0, 30.0][rng.random_range(0..4)];
+                let fault = match rng.random_range(0..18) {
+                    0 => Fault::StoreOut,
+                    1 => Fault::RefuseLeader,
+                    2 => Fault::StoreSlow(2.0),
+                    3 => late(0.3, false),
+                    4 => late(0.3, true),
+                    5 => copies(0.4, false),
+                    6 => copies(0.4, true),
+                    7 => Fault::Deaf(0.4),
+                    8 => Fault::Mute(0.4),
+                    9 => Fault::Hang(0.4),
+                    10 => Fault::Die(2),
+                    11 => Fault::CrashLeader(0.2),
+                    12 => Fault::CrashLeader(5.0),
+                    13 => Fault::CrashAll(rng.random_range(0.1..26.0)),
+                    14 => Fault::FreezeLeader,
+                    15 => Fault::CutFromWorkers,
+                    16 => Fault::NoReads,
+                    _ => Fault::CancelAtEnd(0.5),
+                };
+                troubles.push(trouble(at, lasts, fault));
+            }
+            troubles.push(trouble(at + 2.0, 0.0, Fault::CancelNow(3)));
+        }
+        play(seed, &troubles);
+    }
+}
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -938,3 +938,25 @@
         "all are written down and cleared"
     );
 }
+
+/// Found by going through the code: a plan whose task turned out to be done was never sent and
+/// never dropped, and its job never ended for its user.
+#[test]
+fn a_task_planned_anew_that_an_old_report_shows_as_done_leaves_its_plan() {
+    let mut records = accepted(&array("wk-000001", 1), true);
+    records.push(roster(&["m-g1n"]));
+    let mut s = Scene::with(records);
+    s.pass(s.cluster.timing.bereft.as_secs_f64() + 1.0);
+    s.note("by its lease nothing is left on m-g1n");
+    s.machines(&["m-g2n"]);
+    s.round();
+    let id = JobId::parse("wk-000001").unwrap();
+    assert!(s.cluster.jobs[&id].placed(), "planned anew");
+    let done = ("wk-000001/0", 7, EXITED, Some(Cause::Done));
+    s.report_as("m-g1n", (1, 5, 0), &[done], true);
+    assert!(!s.cluster.jobs[&id].placed());
+    s.report("m-g2n", &[]);
+    s.round();
+    assert!(!s.cluster.jobs.contains_key(&id), "its verdict is written");
+    insta::assert_snapshot!(s.log);
+}
