--- a/src/cluster/done.rs
+++ b/src/cluster/done.rs
@@ -131,39 +131,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_hundred_thousand_tasks_fit_a_few_values() {
-        let chunk = chunk_size(16.0);
-        let mut set = DoneSet::new(100_000, chunk);
-        for index in (0..100_000).step_by(2) {
-            assert!(set.insert(index));
-        }
-        assert_eq!(set.len(), 50_000);
-        assert!(set.chunks() <= 7, "{} chunks", set.chunks());
-        let mut copy = DoneSet::new(100_000, chunk);
-        while let Some(dirty) = set.dirty_chunk() {
-            let digits = set.encode(dirty);
-            assert!(digits.len() <= 16 * 1024 / 2);
-            set.mark_durable(dirty, &digits);
-            copy.mark_durable(dirty, &digits);
-        }
-        assert_eq!(copy.len(), 50_000);
-        assert!(copy.is_durable(99_998) && !copy.contains(99_999));
-    }
-
-    #[test]
-    fn a_task_is_durable_only_once_written() {
-        let mut set = DoneSet::new(3, chunk_size(16.0));
-        set.insert(1);
-        assert!(set.contains(1) && !set.is_durable(1));
-        let digits = set.encode(0);
-        set.insert(2);
-        set.mark_durable(0, &digits);
-        assert!(set.is_durable(1) && !set.is_durable(2));
-        assert_eq!(set.dirty_chunk(), Some(0));
-        assert!(!set.insert(70), "outside the job");
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/peer/tests.rs
@@ -0,0 +1,68 @@
+//! Tests of [`super`].
+
+use super::*;
+
+fn news(done: u32) -> News {
+    News {
+        counts: vec![Counts {
+            id: JobId::parse("wk-000001").unwrap(),
+            done,
+            running: 5,
+        }],
+        over: Vec::new(),
+        hints: vec![(
+            MachineId("m-1".into()),
+            Hint {
+                address: "127.0.0.1:9".to_owned(),
+                session: 2,
+                images: vec![("img".to_owned(), 2.5)],
+            },
+        )],
+        gone: Vec::new(),
+    }
+}
+
+/// A digest that was lost, or one of an older leader, must not leave a mixture.
+#[test]
+fn a_digest_of_changes_is_taken_only_on_top_of_the_one_before() {
+    let digest = |term, number, full, news| Digest {
+        term: Term(term),
+        member: "knot-1".to_owned(),
+        number,
+        full,
+        news,
+    };
+    let id = JobId::parse("wk-000001").unwrap();
+    let mut told = Told::default();
+    assert!(!told.take(digest(3, 7, false, news(1))), "no base yet");
+    assert!(told.take(digest(3, 8, true, news(1))));
+    assert!(told.take(digest(3, 9, false, news(2))));
+    assert_eq!(told.counts[&id], (2, 5));
+    assert!(!told.take(digest(3, 11, false, news(4))), "one is missing");
+    assert!(
+        !told.take(digest(2, 10, true, news(4))),
+        "an older leader's"
+    );
+    let mut last = News::default();
+    last.over.push(id.clone());
+    last.gone.push(MachineId("m-1".into()));
+    assert!(told.take(digest(3, 10, false, last)));
+    assert!(told.counts.is_empty() && told.hints.is_empty());
+    assert!(told.take(digest(4, 1, true, news(1))), "a new term");
+    assert_eq!(told.counts[&id], (1, 5));
+}
+
+#[test]
+fn a_digest_arrives_as_it_was_sent_and_rubbish_does_not() {
+    let digest = Digest {
+        term: Term(3),
+        member: "knot-1".to_owned(),
+        number: 7,
+        full: true,
+        news: news(2),
+    };
+    let bytes = encode(&digest).unwrap();
+    assert_eq!(decode::<Digest>(&bytes), Some(digest));
+    assert_eq!(decode::<Digest>(&bytes[..bytes.len() - 1]), None);
+    assert_eq!(decode::<Digest>(&[0xff; 64]), None);
+}
--- /dev/null
+++ b/src/service/tests.rs
@@ -0,0 +1,47 @@
+//! Tests of [`super`].
+
+use super::*;
+
+/// The load balancer must be told to go elsewhere by the node that is cut off, and by no
+/// node in an outage that all share: after it, each would be missed for seconds.
+#[test]
+fn only_a_node_that_is_cut_off_alone_says_that_it_takes_no_requests() {
+    let start = Instant::now();
+    let at = |s: u64| start + Duration::from_secs(s);
+    let mut shared = Neighbours::default();
+    shared.asked(start);
+    shared.said(Said::Failing, at(5));
+    assert!(!shared.we_alone(at(6)), "all have lost the state service");
+    shared.said(Said::Fine, at(7));
+    assert!(shared.we_alone(at(8)), "another one has it");
+    let mut lonely = Neighbours::default();
+    assert!(!lonely.we_alone(at(100)), "nobody was asked");
+    lonely.asked(start);
+    assert!(!lonely.we_alone(at(1)), "answers may be on their way");
+    assert!(lonely.we_alone(at(5)), "with its workers only");
+    lonely.said(Said::Refused, at(5));
+    assert!(
+        !lonely.we_alone(at(6)),
+        "a filter between the nodes proves nothing"
+    );
+}
+
+/// Workers that come up ask any node once; those that come again and again don't get
+/// through to the leader.
+#[test]
+fn many_knocks_at_one_node_are_remembered_for_a_while_and_a_restart_of_it_is_none() {
+    let start = Instant::now();
+    let at = |s: u64| start + Duration::from_secs(s);
+    let node = |n: u8| format!("knot-{n}");
+    let mut astray = Astray::default();
+    astray.knocked(&node(1), 900, at(0));
+    assert!(!astray.lately(at(0)), "no count before to compare with");
+    astray.knocked(&node(1), 902, at(1));
+    astray.knocked(&node(2), 3, at(1));
+    assert!(!astray.lately(at(1)), "a few");
+    astray.knocked(&node(2), 0, at(2));
+    assert!(!astray.lately(at(2)), "a new life counts from zero");
+    astray.knocked(&node(1), 902 + MANY_KNOCKS, at(3));
+    assert!(astray.lately(at(4)));
+    assert!(!astray.lately(at(3) + KNOCKS_KEPT));
+}
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -296,42 +296,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::store::to_value;
-
-    fn put(replica: &mut Replica, number: u32, verdict: Verdict, version: u64) {
-        let id = JobId::parse(&format!("wk-{number:06}")).unwrap();
-        let record = to_value(&JobRecord::bare(verdict, 1));
-        replica.put(&keys::job(&id), &record, version);
-    }
-
-    /// Verdicts are kept for ever, but not by a process of 128 MB.
-    #[test]
-    fn final_verdicts_are_kept_up_to_a_bound_and_open_ones_always() {
-        let mut replica = Replica::keeping(10);
-        for number in 0..200 {
-            put(
-                &mut replica,
-                number,
-                Verdict::Accepted,
-                u64::from(number) + 1,
-            );
-        }
-        assert_eq!(replica.jobs.len(), 200, "all may still change");
-        for number in 0..150 {
-            put(
-                &mut replica,
-                number,
-                Verdict::Done,
-                1000 + u64::from(number),
-            );
-        }
-        assert_eq!(replica.jobs.len(), 50 + 10);
-        let last = JobId::parse("wk-000149").unwrap();
-        assert_eq!(replica.jobs[&last].record.0, Verdict::Done);
-        let first = JobId::parse("wk-000000").unwrap();
-        assert_eq!(replica.job_version(&first), 0, "to be asked for");
-        assert!(replica.over.len() <= 10);
-    }
-}
+mod tests;
