--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -15,7 +15,7 @@
 use crate::service::{Neighbours, Said, Shared, MANY_KNOCKS};
 use crate::store::actor::{Commit, StoreActor};
 use crate::store::keys::{self, KnocksRecord};
-use crate::store::{to_value, Change, Group, Urgency};
+use crate::store::{to_value, Change, Condition, Group, Urgency};
 
 /// Time between two digests. The counts in them are for display.
 const TELL_EVERY: Duration = Duration::from_secs(1);
@@ -188,10 +188,14 @@
             return;
         }
         self.written = (knocks, now);
-        let key = keys::knocks(&self.shared.settings.member);
+        let member = &self.shared.settings.member;
+        let version = self.shared.replica.lock().knocks_version(member);
+        let key = keys::knocks(member);
         let record = to_value(&KnocksRecord { knocks });
         let group = Group {
-            when: Vec::new(),
+            // One that is carried out late must not take a newer count back: the next one would
+            // look as if many had knocked in between.
+            when: vec![Condition::new(key.clone(), version)],
             apply: vec![Change::put(key, record)],
         };
         // Should it be lost, the next one says the same and more.
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -47,6 +47,8 @@
     pub done: BTreeMap<(JobId, usize), Versioned<DoneRecord>>,
     /// Machines that may hold tasks.
     pub roster: BTreeMap<usize, Versioned<RosterRecord>>,
+    /// Versions of what nodes said of the workers that knock at them.
+    pub knocks: BTreeMap<String, u64>,
     /// Where starts may have been sent, by key.
     pub sent: BTreeMap<String, Versioned<SentRecord>>,
 }
@@ -200,6 +202,7 @@
             }
             Key::Knocks(member) => {
                 let record: KnocksRecord = from_value(value)?;
+                self.knocks.insert(member.clone(), version);
                 Some(News::Knocks(member, record.knocks))
             }
             Key::Sent(key) => {
@@ -284,6 +287,11 @@
         self.roster.get(&shard).map_or(0, |kept| kept.version)
     }
 
+    /// The version of what a node said of the workers that knock at it; 0: nothing.
+    pub fn knocks_version(&self, member: &str) -> u64 {
+        self.knocks.get(member).copied().unwrap_or(0)
+    }
+
     /// The completed tasks of a job, for taking over.
     pub fn done_chunks<'a>(
         &'a self,
