--- a/src/actors/leader.rs
+++ b/src/actors/leader.rs
@@ -118,7 +118,7 @@
             cluster.as_ref().is_some_and(|c| c.hears_few(now))
         };
         let unread = self.shared.role.lock().reads_nothing(now);
-        unread || (unheard && self.shared.astray.lock().lately(now))
+        unread || (unheard && self.shared.misdirected_reports.lock().lately(now))
     }
 
     /// Ends our lease so that another node leads at once.
@@ -146,7 +146,7 @@
             now,
             SystemTime::now(),
         );
-        cluster.hint(&self.shared.told.lock());
+        cluster.hint(&self.shared.digest_view.lock());
         info!(
             term = record.term.0,
             jobs = cluster.jobs.len(),
--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -12,9 +12,9 @@
 
 use crate::model::Term;
 use crate::peer::{self, Digest};
-use crate::service::{Neighbours, Said, Shared, MANY_KNOCKS};
+use crate::service::{Neighbours, Said, Shared, MANY_MISDIRECTED};
 use crate::store::actor::{Commit, StoreActor};
-use crate::store::keys::{self, KnocksRecord};
+use crate::store::keys::{self, MisdirectedRecord};
 use crate::store::{to_value, Change, Condition, Group, Urgency};
 
 /// Time between two digests. The counts in them are for display.
@@ -25,12 +25,12 @@
 /// Looks further apart than that: the process stood still.
 const STOOD_STILL: Duration = Duration::from_millis(2500);
 
-/// How long digests of a leader have to be missing before workers' knocks are told through the
+/// How long digests of a leader have to be missing before workers' misdirected reports are told through the
 /// state service, which a leader that is not cut off from it still reads.
 const DIGESTS_MISSED: Duration = Duration::from_secs(3);
 /// Time between two such records of one node, so that all of them together cost a change or two
 /// a second.
-const KNOCKS_EVERY: Duration = Duration::from_millis(2500);
+const MISDIRECTED_EVERY: Duration = Duration::from_millis(2500);
 
 /// A peer as far as digests go.
 struct Peer {
@@ -49,7 +49,7 @@
     term: Term,
     number: u64,
     last: Instant,
-    /// What was last written of the workers that knock here, and when.
+    /// What was last written of the workers that report here in vain, and when.
     written: (u64, Instant),
 }
 
@@ -92,7 +92,7 @@
             }
             actor.tell();
             actor.ask();
-            actor.write_knocks(now);
+            actor.write_misdirected(now);
         });
     }
 }
@@ -168,33 +168,33 @@
         }
     }
 
-    /// Writes down that workers knock here, where the leader's digests don't arrive: it may have
+    /// Writes down that workers report here in vain, where the leader's digests don't arrive: it may have
     /// lost its workers while the nodes refuse each other's connections, and would keep a lead
     /// that is of no use to anybody.
-    fn write_knocks(&mut self, now: Instant) {
-        let knocks = self.shared.knocks.load(Ordering::Relaxed);
+    fn write_misdirected(&mut self, now: Instant) {
+        let count = self.shared.misdirected.load(Ordering::Relaxed);
         let (written, at) = self.written;
         let heard = *self.shared.peer_contact.lock();
         let missed = heard.is_none_or(|at| now.saturating_duration_since(at) > DIGESTS_MISSED);
         if !missed {
-            self.written = (knocks, at);
+            self.written = (count, at);
             return;
         }
         let leads = self.shared.role.lock().own_term().is_some();
         let known = self.shared.replica.lock().leader.is_some();
-        let many = knocks >= written + MANY_KNOCKS;
-        let rested = now.saturating_duration_since(at) >= KNOCKS_EVERY;
+        let many = count >= written + MANY_MISDIRECTED;
+        let rested = now.saturating_duration_since(at) >= MISDIRECTED_EVERY;
         if leads || !known || !many || !rested {
             return;
         }
-        self.written = (knocks, now);
+        self.written = (count, now);
         let member = &self.shared.settings.member;
-        let version = self.shared.replica.lock().knocks_version(member);
-        let key = keys::knocks(member);
-        let record = to_value(&KnocksRecord { knocks });
+        let version = self.shared.replica.lock().misdirected_version(member);
+        let key = keys::misdirected(member);
+        let record = to_value(&MisdirectedRecord { count });
         let group = Group {
             // One that is carried out late must not take a newer count back: the next one would
-            // look as if many had knocked in between.
+            // look as if many had come in between.
             when: vec![Condition::new(key.clone(), version)],
             apply: vec![Change::put(key, record)],
         };
@@ -245,9 +245,12 @@
                 lacks.store(answer.status() == StatusCode::CONFLICT, Ordering::Relaxed);
                 // Read to its end so that the connection can be used again.
                 let body = answer.body().await.unwrap_or_default();
-                if let Some(peer::Heard { knocks }) = peer::decode(&body) {
+                if let Some(peer::Heard { misdirected }) = peer::decode(&body) {
                     let now = Instant::now();
-                    shared.astray.lock().knocked(&member, knocks, now);
+                    shared
+                        .misdirected_reports
+                        .lock()
+                        .counted(&member, misdirected, now);
                 }
             }
         });
--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -7,6 +7,7 @@
 
 use actix::prelude::*;
 use awc::Client;
+use parking_lot::Mutex;
 use tokio::sync::Semaphore;
 use tracing::{debug, info};
 
@@ -14,7 +15,7 @@
 use crate::leader::Lead;
 use crate::model::{Term, Token};
 use crate::sched::{self, Decisions, Short};
-use crate::service::{Shared, Shelf};
+use crate::service::Shared;
 use crate::store::actor::{Commit, StoreActor};
 use crate::store::{keys, Condition, Outcome, StoreError};
 use crate::wire::{self, Order, Report};
@@ -36,7 +37,7 @@
 const ORDER_LIMIT: Duration = Duration::from_secs(2);
 
 /// The latest round's shortages, for the fleet.
-pub type Shortages = Arc<Shelf<Vec<Short>>>;
+pub type Shortages = Arc<Mutex<Vec<Short>>>;
 
 /// The actor.
 pub struct RoundActor {
@@ -72,7 +73,7 @@
             store: self.store.clone(),
             http: self.http.clone(),
             shortages: self.shortages.clone(),
-            writes_rest_until: Shelf::default(),
+            writes_rest_until: Mutex::default(),
             at_once: Semaphore::new(self.shared.sockets.direct),
         };
         actix::spawn(Rc::new(rounds).run());
@@ -89,7 +90,7 @@
     store: Addr<StoreActor>,
     http: Client,
     shortages: Shortages,
-    writes_rest_until: Shelf<Option<Instant>>,
+    writes_rest_until: Mutex<Option<Instant>>,
     /// Direct commands under way, each with a socket.
     at_once: Semaphore,
 }
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -13,7 +13,7 @@
 use crate::model::{Amount, JobId, JobSpec, Rank, Shape, Verdict};
 use crate::sched::Policy;
 use crate::service::Shared;
-use crate::store::actor::{Check, Commit, StoreActor};
+use crate::store::actor::{Commit, ReadVerdict, StoreActor};
 use crate::store::keys::{self, JobRecord, LiveRecord};
 use crate::store::{to_value, Change, Condition, Group, Outcome, StoreError, Urgency};
 use crate::wire::{self, JobBody, JobState};
@@ -67,7 +67,7 @@
     if let Some(cluster) = shared.cluster.lock().as_ref() {
         return cluster.count(id);
     }
-    let told = shared.told.lock();
+    let told = shared.digest_view.lock();
     told.counts.get(id).copied().unwrap_or((0, 0))
 }
 
@@ -86,7 +86,7 @@
         return Ok(cached);
     }
     let began = Instant::now();
-    let check = store.send(Check(id.clone()));
+    let check = store.send(ReadVerdict(id.clone()));
     match actix::clock::timeout(POLL_LIMIT, check).await {
         // After standing still what was true when it was asked may be older than what another
         // node has told since.
--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -25,7 +25,7 @@
     let mut answer = respond(&shared, body, &Instant::now);
     let stays = answer.status() == StatusCode::OK;
     if !stays {
-        shared.knocks.fetch_add(1, Ordering::Relaxed);
+        shared.misdirected.fetch_add(1, Ordering::Relaxed);
     }
     if !stays || shared.open() > shared.sockets.reports_close {
         let head = answer.head_mut();
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -32,7 +32,7 @@
 use crate::config::{secs, Settings};
 use crate::leader::{caretaking, DRIFT};
 use crate::model::{Amount, Attempt, Build, JobId, MachineId, TaskId, Term};
-use crate::peer::{Hint, Told};
+use crate::peer::{DigestView, Hint};
 use crate::store::replica::Replica;
 
 /// Added to a worker's lease before we count on its end: timers fire late, and the worker
@@ -204,7 +204,7 @@
 
     /// Takes what an earlier leader told of the machines. Those that are gone must not come
     /// back by late copies of their reports.
-    pub fn hint(&mut self, told: &Told) {
+    pub fn hint(&mut self, told: &DigestView) {
         self.hints = told.hints.clone();
         for id in &self.unsettled {
             if let (Some(machine), Some(hint)) = (self.machines.get_mut(id), self.hints.get(id)) {
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -57,14 +57,14 @@
     cluster: &'a Cluster,
     leaving: &HashSet<MachineId>,
     wares: &[Ware],
-    shelf_of: &dyn Fn(&Machine) -> Option<usize>,
+    offer_of: &dyn Fn(&Machine) -> Option<usize>,
     now: Instant,
 ) -> Vec<(usize, &'a Machine)> {
     let mut coming = Vec::new();
     let mut late: BTreeMap<usize, Vec<(Duration, &Machine)>> = BTreeMap::new();
     let mut all: HashMap<usize, usize> = HashMap::new();
     for machine in cluster.machines.values() {
-        let Some(at) = shelf_of(machine).filter(|_| !leaving.contains(&machine.id)) else {
+        let Some(at) = offer_of(machine).filter(|_| !leaving.contains(&machine.id)) else {
             continue;
         };
         *all.entry(at).or_default() += 1;
@@ -134,7 +134,7 @@
             }
         }
         // Where machines of a kind stand among the wares.
-        let shelf: Vec<Option<usize>> = cluster
+        let offer_by_kind: Vec<Option<usize>> = cluster
             .kinds
             .iter()
             .map(|(_, kind)| {
@@ -144,9 +144,9 @@
                 })
             })
             .collect();
-        let shelf_of = |machine: &Machine| {
+        let offer_of = |machine: &Machine| {
             let kind = machine.kind?;
-            shelf.get(usize::from(kind.0)).copied().flatten()
+            offer_by_kind.get(usize::from(kind.0)).copied().flatten()
         };
         let mut bays: Vec<Vec<Bay>> = wares.iter().map(|_| Vec::new()).collect();
         let rooms = Rooms::of(cluster, now);
@@ -161,13 +161,13 @@
                 free,
                 rest_s: Some(place.rest_s),
             };
-            if let Some(at) = shelf_of(room.machine).filter(|_| !leaving.contains(&room.machine.id))
+            if let Some(at) = offer_of(room.machine).filter(|_| !leaving.contains(&room.machine.id))
             {
                 departing.push((at, bay));
             }
         }
         for room in rooms.all {
-            if let Some(at) = shelf_of(room.machine).filter(|_| !leaving.contains(&room.machine.id))
+            if let Some(at) = offer_of(room.machine).filter(|_| !leaving.contains(&room.machine.id))
             {
                 bays[at].push(Bay {
                     machine: Some(room.machine),
@@ -176,7 +176,7 @@
                 });
             }
         }
-        for (at, machine) in coming(cluster, leaving, &wares, &shelf_of, now) {
+        for (at, machine) in coming(cluster, leaving, &wares, &offer_of, now) {
             bays[at].push(Bay {
                 machine: Some(machine),
                 free: wares[at].build.room,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -94,7 +94,7 @@
 
 /// What a node keeps of the digests.
 #[derive(Debug, Default)]
-pub struct Told {
+pub struct DigestView {
     term: Term,
     number: u64,
     /// Completed and running tasks.
@@ -105,7 +105,7 @@
     pub gone: VecDeque<MachineId>,
 }
 
-impl Told {
+impl DigestView {
     /// Takes a digest; whether it could be used. One that builds on another that did not
     /// arrive can't.
     pub fn take(&mut self, digest: Digest) -> bool {
@@ -167,7 +167,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heard {
     /// Reports of workers that this node has sent elsewhere since it started.
-    pub knocks: u64,
+    pub misdirected: u64,
 }
 
 /// Takes a leader's digest.
@@ -181,9 +181,9 @@
     }
     shared.role.lock().hears(digest.term, &digest.member);
     *shared.peer_contact.lock() = Some(Instant::now());
-    let knocks = shared.knocks.load(Ordering::Relaxed);
-    let heard = encode(&Heard { knocks }).unwrap_or_default();
-    let mut answer = if shared.told.lock().take(digest) {
+    let misdirected = shared.misdirected.load(Ordering::Relaxed);
+    let heard = encode(&Heard { misdirected }).unwrap_or_default();
+    let mut answer = if shared.digest_view.lock().take(digest) {
         HttpResponse::Ok()
     } else {
         HttpResponse::Conflict()
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -33,7 +33,7 @@
         news,
     };
     let id = JobId::parse("wk-000001").unwrap();
-    let mut told = Told::default();
+    let mut told = DigestView::default();
     assert!(!told.take(digest(3, 7, false, news(1))), "no base yet");
     assert!(told.take(digest(3, 8, true, news(1))));
     assert!(told.take(digest(3, 9, false, news(2))));
--- a/src/service.rs
+++ b/src/service.rs
@@ -5,9 +5,10 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{watch, Notify};
 use tracing::warn;
@@ -18,29 +19,12 @@
 use crate::leader::Role;
 use crate::metrics::Metrics;
 use crate::model::{JobId, MachineId};
-use crate::peer::Told;
+use crate::peer::DigestView;
 use crate::sched::Policy;
 use crate::sockets::Sockets;
 use crate::store::from_value;
 use crate::store::replica::{News, Replica};
 
-/// A value behind a short lock. A panic elsewhere does not make it unusable: every change of
-/// what is kept here is complete in itself.
-#[derive(Debug, Default)]
-pub struct Shelf<T>(Mutex<T>);
-
-impl<T> Shelf<T> {
-    /// Puts a value there.
-    pub fn new(value: T) -> Self {
-        Self(Mutex::new(value))
-    }
-
-    /// Takes the lock.
-    pub fn lock(&self) -> MutexGuard<'_, T> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// When the state service last answered, and whether it has failed since.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Contact {
@@ -101,35 +85,35 @@
     }
 }
 
-/// Workers that knock at other nodes while we lead: they are up and don't get through to us.
+/// Workers that report to other nodes while we lead: they are up and don't get through to us.
 #[derive(Debug, Default)]
-pub struct Astray {
+pub struct MisdirectedReports {
     counts: HashMap<String, u64>,
     last: Option<Instant>,
 }
 
-/// Knocks at one node between two digests that are no chance: a worker that has just come up
+/// Misdirected reports at one node between two digests that are no chance: a worker that has just come up
 /// asks any node once.
-pub const MANY_KNOCKS: u64 = 5;
-/// How long such knocks are remembered: workers that wait for our answer in vain knock again
+pub const MANY_MISDIRECTED: u64 = 5;
+/// How long they are remembered: workers that wait for our answer in vain come there again
 /// after that and a second.
-const KNOCKS_KEPT: Duration = Duration::from_secs(6);
+const MISDIRECTED_KEPT: Duration = Duration::from_secs(6);
 
-impl Astray {
+impl MisdirectedReports {
     /// A node says how many workers it has sent elsewhere so far.
-    pub fn knocked(&mut self, member: &str, knocks: u64, now: Instant) {
-        let before = self.counts.insert(member.to_owned(), knocks);
+    pub fn counted(&mut self, member: &str, count: u64, now: Instant) {
+        let before = self.counts.insert(member.to_owned(), count);
         // A lower count comes from a new life of the node.
-        let more = before.map_or(0, |before| knocks.saturating_sub(before));
-        if more >= MANY_KNOCKS {
+        let more = before.map_or(0, |before| count.saturating_sub(before));
+        if more >= MANY_MISDIRECTED {
             self.last = Some(now);
         }
     }
 
-    /// Whether many have knocked lately.
+    /// Whether many have come there lately.
     pub fn lately(&self, now: Instant) -> bool {
         self.last
-            .is_some_and(|at| now.saturating_duration_since(at) < KNOCKS_KEPT)
+            .is_some_and(|at| now.saturating_duration_since(at) < MISDIRECTED_KEPT)
     }
 }
 
@@ -216,37 +200,37 @@
     /// What scheduling needs of them.
     pub policy: Policy,
     /// Our records.
-    pub replica: Shelf<Replica>,
+    pub replica: Mutex<Replica>,
     /// The replica's revision, for those who wait for one.
     pub revision: watch::Sender<u64>,
     /// Who leads.
-    pub role: Shelf<Role>,
+    pub role: Mutex<Role>,
     /// The picture, while we lead.
-    pub cluster: Shelf<Option<Cluster>>,
+    pub cluster: Mutex<Option<Cluster>>,
     /// Machine types, once known.
-    pub catalog: Shelf<Option<Catalog>>,
+    pub catalog: Mutex<Option<Catalog>>,
     /// What the leader last told.
-    pub told: Shelf<Told>,
+    pub digest_view: Mutex<DigestView>,
     /// Contact with the state service.
-    pub contact: Shelf<Contact>,
+    pub contact: Mutex<Contact>,
     /// When a peer last told that it is in contact with the state service.
-    pub peer_contact: Shelf<Option<Instant>>,
+    pub peer_contact: Mutex<Option<Instant>>,
     /// What the peers say while we lack the state service.
-    pub neighbours: Shelf<Neighbours>,
+    pub neighbours: Mutex<Neighbours>,
     /// Operators' settings in force.
-    pub operator: Shelf<OperatorSettings>,
+    pub operator: Mutex<OperatorSettings>,
     /// Connections open on the public address.
     pub connections: Arc<AtomicUsize>,
     /// Reports of workers that we have sent elsewhere.
-    pub knocks: AtomicU64,
-    /// Workers that knock elsewhere while we lead.
-    pub astray: Shelf<Astray>,
+    pub misdirected: AtomicU64,
+    /// Workers that report elsewhere while we lead.
+    pub misdirected_reports: Mutex<MisdirectedReports>,
     /// Figures.
-    pub metrics: Shelf<Metrics>,
+    pub metrics: Mutex<Metrics>,
     /// Wakes the round.
     pub wake_round: Notify,
     /// Jobs cancelled here that the other nodes have not been told of.
-    pub cancelled: Shelf<Vec<JobId>>,
+    pub cancelled: Mutex<Vec<JobId>>,
     /// Wakes who tells them.
     pub wake_peers: Notify,
     /// Wakes the election.
@@ -277,24 +261,24 @@
         Arc::new(Self {
             sockets: Sockets::of(&settings),
             policy: Policy::new(&settings),
-            role: Shelf::new(Role::new(&settings)),
-            replica: Shelf::new(Replica::keeping(most_verdicts(
+            role: Mutex::new(Role::new(&settings)),
+            replica: Mutex::new(Replica::keeping(most_verdicts(
                 settings.params.resources.mem_mb,
             ))),
             revision: watch::Sender::new(0),
-            cluster: Shelf::default(),
-            catalog: Shelf::default(),
-            told: Shelf::default(),
-            neighbours: Shelf::default(),
-            contact: Shelf::default(),
-            peer_contact: Shelf::default(),
-            operator: Shelf::default(),
+            cluster: Mutex::default(),
+            catalog: Mutex::default(),
+            digest_view: Mutex::default(),
+            neighbours: Mutex::default(),
+            contact: Mutex::default(),
+            peer_contact: Mutex::default(),
+            operator: Mutex::default(),
             connections: Arc::default(),
-            knocks: AtomicU64::default(),
-            astray: Shelf::default(),
-            metrics: Shelf::default(),
+            misdirected: AtomicU64::default(),
+            misdirected_reports: Mutex::default(),
+            metrics: Mutex::default(),
             wake_round: Notify::new(),
-            cancelled: Shelf::default(),
+            cancelled: Mutex::default(),
             wake_peers: Notify::new(),
             wake_leader: Notify::new(),
             wake_reader: Notify::new(),
@@ -383,8 +367,8 @@
                     let settings: OperatorSettings = read.unwrap_or_default();
                     *self.operator.lock() = settings;
                 }
-                News::Knocks(member, knocks) => {
-                    self.astray.lock().knocked(member, *knocks, now);
+                News::Misdirected(member, count) => {
+                    self.misdirected_reports.lock().counted(member, *count, now);
                 }
                 News::Job(id) => {
                     jobs = true;
--- a/src/store/actor.rs
+++ b/src/store/actor.rs
@@ -15,7 +15,7 @@
 
 use super::client::StoreClient;
 use super::limiter::Limiter;
-use super::looks::{self, Asking};
+use super::reads::{self, PendingReads};
 use super::{Change, Group, Outcome, StoreError, Urgency};
 use crate::config::StateSettings;
 use crate::model::{JobId, Verdict};
@@ -50,11 +50,11 @@
 
 /// Asks for a job's verdict as it stands now, not as it stood.
 #[derive(Message)]
-#[rtype(result = "CheckAnswer")]
-pub struct Check(pub JobId);
+#[rtype(result = "VerdictAnswer")]
+pub struct ReadVerdict(pub JobId);
 
 /// A job's verdict and number of tasks; nothing if there is no such job.
-pub type CheckAnswer = Result<Option<(Verdict, u32)>, StoreError>;
+pub type VerdictAnswer = Result<Option<(Verdict, u32)>, StoreError>;
 
 /// Takes the leader's part of the limits, or gives it back.
 #[derive(Message)]
@@ -128,7 +128,7 @@
     pub(super) client: StoreClient,
     pub(super) limits: StateSettings,
     pub(super) shared: Arc<Shared>,
-    pub(super) asking: Asking,
+    pub(super) pending_reads: PendingReads,
     limiter: RefCell<Limiter>,
     queue: RefCell<Queue>,
     in_flight: Cell<usize>,
@@ -149,7 +149,7 @@
             client,
             limits,
             shared,
-            asking: Asking::default(),
+            pending_reads: PendingReads::default(),
             limiter: RefCell::new(limiter),
             queue: RefCell::default(),
             in_flight: Cell::new(0),
@@ -162,7 +162,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, _: &mut Self::Context) {
-        actix::spawn(looks::watch(self.0.clone()));
+        actix::spawn(reads::watch(self.0.clone()));
         actix::spawn(send_all(self.0.clone()));
     }
 }
@@ -188,11 +188,11 @@
     }
 }
 
-impl Handler<Check> for StoreActor {
-    type Result = ResponseFuture<CheckAnswer>;
+impl Handler<ReadVerdict> for StoreActor {
+    type Result = ResponseFuture<VerdictAnswer>;
 
-    fn handle(&mut self, Check(id): Check, _: &mut Self::Context) -> Self::Result {
-        let answer = self.0.asking.ask(id);
+    fn handle(&mut self, ReadVerdict(id): ReadVerdict, _: &mut Self::Context) -> Self::Result {
+        let answer = self.0.pending_reads.ask(id);
         self.0.shared.wake_reader.notify_one();
         Box::pin(async move { answer.await.unwrap_or(Err(StoreError::Unknown)) })
     }
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -21,7 +21,7 @@
 const DONE: &str = "kl/done/";
 const ROSTER: &str = "kl/roster/";
 const SENT: &str = "kl/sent/";
-const KNOCKS: &str = "kl/knocks/";
+const MISDIRECTED: &str = "kl/knocks/";
 
 /// The verdict on a job, kept for ever, and its description while any task of it can be anywhere.
 pub fn job(id: &JobId) -> String {
@@ -50,8 +50,8 @@
 
 /// How many workers a node has sent elsewhere, told this way where the leader's digests don't
 /// reach the node.
-pub fn knocks(member: &str) -> String {
-    format!("{KNOCKS}{member}")
+pub fn misdirected(member: &str) -> String {
+    format!("{MISDIRECTED}{member}")
 }
 
 /// What a key is about.
@@ -73,8 +73,8 @@
     Roster(usize),
     /// See [`sent`].
     Sent(String),
-    /// See [`knocks`].
-    Knocks(String),
+    /// See [`misdirected`].
+    Misdirected(String),
 }
 
 /// Reads a key.
@@ -98,8 +98,8 @@
     if key.starts_with(SENT) {
         return Some(Key::Sent(key.to_owned()));
     }
-    if let Some(member) = key.strip_prefix(KNOCKS) {
-        return Some(Key::Knocks(member.to_owned()));
+    if let Some(member) = key.strip_prefix(MISDIRECTED) {
+        return Some(Key::Misdirected(member.to_owned()));
     }
     let shard = key.strip_prefix(ROSTER)?;
     shard.parse().ok().map(Key::Roster)
@@ -180,11 +180,12 @@
     pub jobs: Vec<(JobId, Option<Vec<String>>)>,
 }
 
-/// Record below [`knocks`].
+/// Record below [`misdirected`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct KnocksRecord {
+pub struct MisdirectedRecord {
     /// Reports that the node has sent elsewhere since it started.
-    pub knocks: u64,
+    #[serde(rename = "knocks")]
+    pub count: u64,
 }
 
 /// Record below [`roster`].
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,7 +5,7 @@
 pub mod client;
 pub mod keys;
 pub mod limiter;
-mod looks;
+mod reads;
 pub mod replica;
 
 use serde::{Deserialize, Serialize};
--- a/src/store/looks.rs
+++ b/src/store/reads.rs
@@ -1,9 +1,9 @@
-//! The watch that keeps the replica up to date, and the looks that questions wait for.
+//! The watch that keeps the replica up to date, and the linearizable reads that questions wait for.
 //!
-//! A question is answered from the replica once a look that was sent after the question came has
-//! been answered: the look brings all changes up to then, so nothing that any node has told
-//! before is unknown here. One look serves all questions that wait, however many, so they cost
-//! the state service nothing each.
+//! A question is answered from the replica once a read that was sent after the question came has
+//! been answered: it brings all changes up to then, so nothing that any node has told before is
+//! unknown here. One read serves all questions that wait, however many, so they cost the state
+//! service nothing each. Nothing else grants such an answer.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -15,31 +15,31 @@
 use tracing::{debug, info};
 
 use super::actor::{
-    CheckAnswer, Inner, CONDITIONS_PER_OP, LEADER_WATCH_HOLD, WATCH_GRACE, WATCH_HOLD,
+    Inner, VerdictAnswer, CONDITIONS_PER_OP, LEADER_WATCH_HOLD, WATCH_GRACE, WATCH_HOLD,
 };
 use super::{keys, Condition, Follow, Group, Outcome, Row, StoreError};
 use crate::model::JobId;
 
-/// Pause between two looks, so that questions gather instead of costing a request each.
-const LOOK_PAUSE: Duration = Duration::from_millis(120);
-/// A look without an answer by then has failed; a user waits two seconds.
-const LOOK_LIMIT: Duration = Duration::from_millis(1200);
+/// Pause between two reads, so that questions gather instead of costing a request each.
+const READ_PAUSE: Duration = Duration::from_millis(120);
+/// A read without an answer by then has failed; a user waits two seconds.
+const READ_LIMIT: Duration = Duration::from_millis(1200);
 /// Pause between two openings of the watch; changes gather meanwhile.
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a failed request to the service.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
-type Replies = Vec<oneshot::Sender<CheckAnswer>>;
+type Replies = Vec<oneshot::Sender<VerdictAnswer>>;
 
-/// Questions that wait for a look.
+/// Questions that wait for a read.
 #[derive(Default)]
-pub(super) struct Asking {
+pub(super) struct PendingReads {
     waiting: RefCell<BTreeMap<JobId, Replies>>,
 }
 
-impl Asking {
+impl PendingReads {
     /// One more; its number is bounded by the users' connections.
-    pub(super) fn ask(&self, id: JobId) -> oneshot::Receiver<CheckAnswer> {
+    pub(super) fn ask(&self, id: JobId) -> oneshot::Receiver<VerdictAnswer> {
         let (reply, answer) = oneshot::channel();
         self.waiting.borrow_mut().entry(id).or_default().push(reply);
         answer
@@ -54,7 +54,7 @@
     }
 }
 
-fn answer(replies: Replies, with: &CheckAnswer) {
+fn answer(replies: Replies, with: &VerdictAnswer) {
     for reply in replies {
         // Whoever asked may have gone.
         let _ = reply.send(with.clone());
@@ -68,7 +68,7 @@
         let result = if !loaded {
             load(&inner).await
         } else if read_wanted(&inner) {
-            look(&inner).await
+            read_latest(&inner).await
         } else {
             wait_for_changes(&inner).await
         };
@@ -89,17 +89,17 @@
 
 /// Whether somebody waits for a read: a question, or a lead that needs its proof.
 fn read_wanted(inner: &Inner) -> bool {
-    inner.asking.any() || inner.shared.role.lock().wants_proof(Instant::now())
+    inner.pending_reads.any() || inner.shared.role.lock().wants_proof(Instant::now())
 }
 
 /// Who asks while the service can't be reached is told so at once.
 fn refuse_questions(inner: &Inner, error: &StoreError) {
-    for replies in inner.asking.take().into_values() {
+    for replies in inner.pending_reads.take().into_values() {
         answer(replies, &Err(error.clone()));
     }
 }
 
-/// Stays open until something changes, with looks in between for those who ask meanwhile.
+/// Stays open until something changes, with reads in between for those who ask meanwhile.
 async fn wait_for_changes(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
     inner.pace(1.0, 0.0).await;
     let leads = inner.shared.role.lock().own_term().is_some();
@@ -111,7 +111,7 @@
         match select(watch, came).await {
             Either::Left((got, _)) => {
                 match &got {
-                    // In an outage watches stay open; only a look shows it.
+                    // In an outage watches stay open; only a read shows it.
                     Err(StoreError::Unknown) => {}
                     got => inner.note(sent, got.as_ref().err()),
                 }
@@ -121,7 +121,7 @@
             Either::Right(((), open)) => {
                 watch = open;
                 while read_wanted(inner) {
-                    let pause = look(inner).await?;
+                    let pause = read_latest(inner).await?;
                     actix::clock::sleep(pause).await;
                 }
             }
@@ -130,11 +130,11 @@
 }
 
 /// Brings the replica up to date, then answers all who asked before that.
-async fn look(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
+async fn read_latest(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
     inner.pace(1.0, 0.0).await;
-    let waiting = inner.asking.take();
+    let waiting = inner.pending_reads.take();
     let sent = Instant::now();
-    let got = follow(inner, Duration::ZERO, LOOK_LIMIT).await;
+    let got = follow(inner, Duration::ZERO, READ_LIMIT).await;
     inner.note(sent, got.as_ref().err());
     let got = match got {
         Ok(got) => got,
@@ -159,7 +159,7 @@
     if !unknown.is_empty() {
         actix::spawn(seek(inner.clone(), unknown));
     }
-    Ok(LOOK_PAUSE)
+    Ok(READ_PAUSE)
 }
 
 /// Looks for verdicts of which the replica knows nothing, since it lets old ones go: most are of
@@ -200,7 +200,7 @@
 }
 
 /// Asks for one verdict.
-async fn read_verdict(inner: &Inner, id: &JobId) -> CheckAnswer {
+async fn read_verdict(inner: &Inner, id: &JobId) -> VerdictAnswer {
     inner.pace(1.0, 0.0).await;
     let sent = Instant::now();
     let read = inner.client.get(&keys::job(id)).await;
@@ -252,7 +252,7 @@
     inner.client.follow(keys::ROOT, after, hold, limit).await
 }
 
-/// Takes what a watch or a look that was sent then brought.
+/// Takes what a watch or a read that was sent then brought.
 fn take(inner: &Inner, got: &Follow, sent: Instant) {
     let (news, revision) = {
         let mut replica = inner.shared.replica.lock();
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use super::keys::{
-    self, DoneRecord, JobRecord, Key, KnocksRecord, LeaderRecord, LiveRecord, RosterRecord,
+    self, DoneRecord, JobRecord, Key, LeaderRecord, LiveRecord, MisdirectedRecord, RosterRecord,
     SentRecord,
 };
 use super::{from_value, Event, Row, Value};
@@ -47,8 +47,8 @@
     pub done: BTreeMap<(JobId, usize), Versioned<DoneRecord>>,
     /// Machines that may hold tasks.
     pub roster: BTreeMap<usize, Versioned<RosterRecord>>,
-    /// Versions of what nodes said of the workers that knock at them.
-    pub knocks: BTreeMap<String, u64>,
+    /// Versions of what nodes said of the workers that report to them in vain.
+    pub misdirected: BTreeMap<String, u64>,
     /// Where starts may have been sent, by key.
     pub sent: BTreeMap<String, Versioned<SentRecord>>,
 }
@@ -83,7 +83,7 @@
     /// Operators' settings changed.
     Settings,
     /// A node says how many workers it has sent elsewhere.
-    Knocks(String, u64),
+    Misdirected(String, u64),
 }
 
 impl Replica {
@@ -200,10 +200,10 @@
                 self.roster.insert(shard, Versioned { version, record });
                 None
             }
-            Key::Knocks(member) => {
-                let record: KnocksRecord = from_value(value)?;
-                self.knocks.insert(member.clone(), version);
-                Some(News::Knocks(member, record.knocks))
+            Key::Misdirected(member) => {
+                let record: MisdirectedRecord = from_value(value)?;
+                self.misdirected.insert(member.clone(), version);
+                Some(News::Misdirected(member, record.count))
             }
             Key::Sent(key) => {
                 let record: SentRecord = from_value(value)?;
@@ -238,7 +238,7 @@
                 None
             }
             // These are never deleted by us.
-            Key::Term | Key::Settings | Key::Job(_) | Key::Knocks(_) => None,
+            Key::Term | Key::Settings | Key::Job(_) | Key::Misdirected(_) => None,
         }
     }
 
@@ -287,9 +287,9 @@
         self.roster.get(&shard).map_or(0, |kept| kept.version)
     }
 
-    /// The version of what a node said of the workers that knock at it; 0: nothing.
-    pub fn knocks_version(&self, member: &str) -> u64 {
-        self.knocks.get(member).copied().unwrap_or(0)
+    /// The version of what a node said of the workers that report to it in vain; 0: nothing.
+    pub fn misdirected_version(&self, member: &str) -> u64 {
+        self.misdirected.get(member).copied().unwrap_or(0)
     }
 
     /// The completed tasks of a job, for taking over.
--- a/src/store/replica/tests.rs
+++ b/src/store/replica/tests.rs
@@ -38,14 +38,14 @@
     assert!(replica.over.len() <= 10);
 }
 
-/// A count of knocks that is written late must meet a condition that has moved on.
+/// A count of misdirected reports that is written late must meet a condition that has moved on.
 #[test]
-fn the_version_of_a_node_s_knocks_moves_on_with_each_write() {
+fn the_version_of_a_node_s_misdirected_reports_moves_on_with_each_write() {
     let mut replica = Replica::default();
-    assert_eq!(replica.knocks_version("knot-1"), 0);
-    let record = to_value(&KnocksRecord { knocks: 9 });
-    let told = replica.put(&keys::knocks("knot-1"), &record, 7);
-    assert_eq!(told, Some(News::Knocks("knot-1".to_owned(), 9)));
-    assert_eq!(replica.knocks_version("knot-1"), 7);
-    assert_eq!(replica.knocks_version("knot-2"), 0);
+    assert_eq!(replica.misdirected_version("knot-1"), 0);
+    let record = to_value(&MisdirectedRecord { count: 9 });
+    let told = replica.put(&keys::misdirected("knot-1"), &record, 7);
+    assert_eq!(told, Some(News::Misdirected("knot-1".to_owned(), 9)));
+    assert_eq!(replica.misdirected_version("knot-1"), 7);
+    assert_eq!(replica.misdirected_version("knot-2"), 0);
 }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -8,7 +8,7 @@
 use knotlanding::cluster::Verified;
 use knotlanding::fleet::Offer;
 use knotlanding::model::*;
-use knotlanding::peer::Told;
+use knotlanding::peer::DigestView;
 use knotlanding::sched::Decisions;
 use knotlanding::wire::{Cause, TaskPhase};
 use scene::*;
@@ -407,7 +407,7 @@
     let mut records = accepted(&array("wk-000001", 1), true);
     records.push(roster(&["m-g1n"]));
     let mut s = Scene::with(records);
-    let mut told = Told::default();
+    let mut told = DigestView::default();
     told.gone.push_back(MachineId("m-g9n".into()));
     s.cluster.hint(&told);
     s.note("copies: of a roster machine without the task, of one gone, of one nobody knows");
