Followers send on no more workers than the leader can take in

A node sends on by a bucket that all nodes together size to 0.6 of the leader's processor; others are answered 503 and try the next node a second later. The lease is down to 0.12 s of processor time.

--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -48,6 +48,9 @@
     let term = match standing {
         Standing::Lead(lead) => lead.term,
         Standing::Caretake(term) => term,
+        Standing::Follow(Some(_)) if !sends_on(shared, clock()) => {
+            return problem(StatusCode::SERVICE_UNAVAILABLE, "too many go to the leader");
+        }
         Standing::Follow(Some(member)) => {
             let report_to = Some(member);
             return cbor(StatusCode::MISDIRECTED_REQUEST, &Redirect { report_to });
@@ -72,6 +75,16 @@
     }
 }
 
+/// Whether another worker may be sent to the leader now.
+fn sends_on(shared: &Shared, now: Instant) -> bool {
+    let mut redirects = shared.redirects.lock();
+    let may = redirects.level(now) >= 1.0;
+    if may {
+        redirects.take(1.0, now);
+    }
+    may
+}
+
 /// The token and the orders for the worker, and whether a round should look; `None` if another one leads.
 fn take(
     shared: &Shared,
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -15,7 +15,7 @@
 pub const SHORTEST_LEASE: Duration = Duration::from_secs(3);
 /// Processor time that a lease must give: workers come to a new leader all at once, and nothing
 /// of a small machine goes on before it has paid for what they cost.
-const STORM_CPU_S: f64 = 0.2;
+const STORM_CPU_S: f64 = 0.12;
 /// A lead that takes longer to be noticed as lost is worse than one lost for slowness.
 const LONGEST_LEASE: Duration = Duration::from_secs(8);
 /// Parts of the lease between two renewals: three may fail before the lease does.
@@ -46,9 +46,14 @@
 pub const DRIFT: f64 = 0.0005;
 /// Oldest replica from which starts are decided and sent: a watch that is answered just before
 /// the next one ends, and one that is answered late.
-const START_FRESHNESS: Duration = LEADER_WATCH_HOLD
-    .saturating_mul(2)
-    .saturating_add(WATCH_GRACE);
+fn start_freshness(slowness: f64) -> Duration {
+    LEADER_WATCH_HOLD * 2 + WATCH_GRACE.mul_f64(slowness)
+}
+
+/// How many times as long as on a machine of usual size an answer may take to be taken up.
+pub fn slowness(settings: &Settings) -> f64 {
+    lease_time(settings).as_secs_f64() / SHORTEST_LEASE.as_secs_f64()
+}
 
 /// How old our replica may be when a report is answered with 200. A job may have been cancelled,
 /// unseen by us, from the moment on up to which the replica is complete; its tasks must be gone
@@ -96,9 +101,10 @@
             .is_some_and(|at| now.saturating_duration_since(at) < limit)
     }
 
-    /// Whether it is good enough for starts: proved since contact last failed, and not long ago.
-    pub fn allows_starts(&self, now: Instant) -> bool {
-        self.complete_at > self.doubted_at && self.within(START_FRESHNESS, now)
+    /// Whether it is good enough for starts: proved since contact last failed, and not longer ago
+    /// than `limit`.
+    pub fn allows_starts(&self, limit: Duration, now: Instant) -> bool {
+        self.complete_at > self.doubted_at && self.within(limit, now)
     }
 }
 
@@ -137,6 +143,7 @@
 pub struct Role {
     me: String,
     lease_time: Duration,
+    start_freshness: Duration,
     caretake: Duration,
     answering: Duration,
     freshness: Freshness,
@@ -158,6 +165,7 @@
         Self {
             me: settings.member.clone(),
             lease_time: lease_time(settings),
+            start_freshness: start_freshness(slowness(settings)),
             caretake: caretaking(settings),
             answering: answering(settings),
             freshness: Freshness::default(),
@@ -206,7 +214,7 @@
     /// The lead, if starts may be decided and sent under it.
     pub fn starting(&self, now: Instant) -> Option<Lead> {
         self.leading(now)
-            .filter(|_| self.freshness.allows_starts(now))
+            .filter(|_| self.freshness.allows_starts(self.start_freshness, now))
     }
 
     /// How complete the replica is.
@@ -217,7 +225,7 @@
     /// Whether a read is wanted at once: the lead lasts by its lease, and only the replica's age
     /// keeps it from being of use.
     pub fn wants_proof(&self, now: Instant) -> bool {
-        self.leading_by_lease(now) && !self.freshness.allows_starts(now)
+        self.leading_by_lease(now) && !self.freshness.allows_starts(self.start_freshness, now)
     }
 
     /// Time of our leases.
--- a/src/service.rs
+++ b/src/service.rs
@@ -23,6 +23,7 @@
 use crate::sched::Policy;
 use crate::sockets::Sockets;
 use crate::store::from_value;
+use crate::store::limiter::Bucket;
 use crate::store::replica::{News, Replica};
 
 /// When the state service last answered, and whether it has failed since.
@@ -221,6 +222,8 @@
     pub operator: Mutex<OperatorSettings>,
     /// Connections open on the public address.
     pub connections: Arc<AtomicUsize>,
+    /// Reports that may yet be sent on to the leader.
+    pub redirects: Mutex<Bucket>,
     /// Reports of workers that we have sent elsewhere.
     pub misdirected: AtomicU64,
     /// Workers that report elsewhere while we lead.
@@ -255,6 +258,21 @@
     (mem_mb * 1024.0 * 1024.0 * VERDICTS_PART / VERDICT_BYTES).max(1.0) as usize
 }
 
+/// Processor time that a worker's first report costs the leader, with its connection.
+const FIRST_REPORT_CPU_S: f64 = 0.00015;
+/// Part of the leader's processor for those that come to it anew.
+const FIRST_REPORTS_PART: f64 = 0.6;
+
+/// How many workers a second this node sends to the leader. All nodes together send no more than it
+/// can take: a worker gives an answer up after four seconds and comes again on a new connection,
+/// so a leader that is short of processor time would go on answering those that have given up.
+/// The others try the next node a second later.
+fn redirect_rate(settings: &Settings) -> f64 {
+    let others = settings.params.count.saturating_sub(1).max(1);
+    let cores = settings.params.resources.cores;
+    cores * FIRST_REPORTS_PART / FIRST_REPORT_CPU_S / others as f64
+}
+
 impl Shared {
     /// The state of a process that has just started.
     pub fn new(settings: Settings) -> Arc<Self> {
@@ -274,6 +292,7 @@
             peer_contact: Mutex::default(),
             operator: Mutex::default(),
             connections: Arc::default(),
+            redirects: Mutex::new(Bucket::new(redirect_rate(&settings), Instant::now())),
             misdirected: AtomicU64::default(),
             misdirected_reports: Mutex::default(),
             metrics: Mutex::default(),
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -308,3 +308,51 @@
     // Past its lease by now.
     assert_eq!(desk.at(6.0).report(), (200, vec!["kill".to_owned()]));
 }
+
+/// Workers give an answer up after four seconds and come again on a new connection: a leader that
+/// is short of processor time went on answering those that had given up, for half a minute.
+#[test]
+fn a_follower_sends_on_no_more_workers_than_the_leader_can_take_in() {
+    let text = common::settings_text(
+        "knot-0",
+        "127.0.0.1:1",
+        "127.0.0.1:2",
+        "127.0.0.1:3",
+        "127.0.0.1:4",
+    );
+    let sent_on = |cores: f64, nodes: usize| {
+        let mut settings = Settings::parse(&text, "a test").unwrap();
+        settings.params.resources.cores = cores;
+        settings.params.count = nodes;
+        let shared = Shared::new(settings);
+        shared.role.lock().hears(Term(3), "knot-1");
+        let start = Instant::now();
+        let report = cbor!({
+            "host" => MACHINE, "address" => "127.0.0.1:9", "build" => "gpu2", "yard" => "north",
+            "loaners" => false, "tenure" => 1, "tally" => 1, "baton" => 0,
+            "strands" => Vec::<Value>::new(),
+        });
+        let mut body = Vec::new();
+        ciborium::into_writer(&report.unwrap(), &mut body).unwrap();
+        let mut sent_on = [0, 0];
+        for s in 0..2 {
+            let now = start + Duration::from_secs(s);
+            for _ in 0..400 {
+                let answer = respond(&shared, Ok(body.clone().into()), &|| now);
+                match answer.status().as_u16() {
+                    421 => sent_on[s as usize] += 1,
+                    status => assert_eq!(status, 503, "to be tried at the next node"),
+                }
+            }
+        }
+        sent_on
+    };
+    let [first, second] = sent_on(0.029, 7);
+    assert!(first > 0 && second > 0, "a bucket that fills again");
+    assert!(first + second < 100, "{first} and {second} of 800");
+    assert_eq!(
+        sent_on(1.0, 3),
+        [400, 400],
+        "a usual machine takes them all"
+    );
+}
