--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -60,3 +60,15 @@
 "#
     )
 }
+
+/// The same for addresses at which nobody listens.
+#[allow(dead_code)]
+pub fn settings_of_nobody() -> String {
+    settings_text(
+        "knot-0",
+        "127.0.0.1:1",
+        "127.0.0.1:2",
+        "127.0.0.1:3",
+        "127.0.0.1:4",
+    )
+}
--- a/tests/common/scene.rs
+++ b/tests/common/scene.rs
@@ -111,13 +111,7 @@
 impl Scene {
     /// Takes over with these records as of term 1.
     pub fn with(records: Vec<(String, knotlanding::store::Value)>) -> Self {
-        let text = super::common::settings_text(
-            "knot-0",
-            "127.0.0.1:1",
-            "127.0.0.1:2",
-            "127.0.0.1:3",
-            "127.0.0.1:4",
-        );
+        let text = super::common::settings_of_nobody();
         let settings = Settings::parse(&text, "test").unwrap();
         let start = Instant::now() + Duration::from_secs(100_000);
         let mut scene = Self {
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -15,13 +15,7 @@
 const PATIENCE: f64 = 260.0;
 
 fn settings() -> String {
-    let text = common::settings_text(
-        "knot-0",
-        "127.0.0.1:1",
-        "127.0.0.1:2",
-        "127.0.0.1:3",
-        "127.0.0.1:4",
-    );
+    let text = common::settings_of_nobody();
     text.replace("count = 1", "count = 3")
         .replace("report_s = 0.5", "report_s = 3.0")
 }
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -647,13 +647,7 @@
 #[test]
 fn wrong_settings_end_the_program_with_one_line_that_names_the_field() {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let good = common::settings_text(
-        "knot-0",
-        "127.0.0.1:1",
-        "127.0.0.1:2",
-        "127.0.0.1:3",
-        "127.0.0.1:4",
-    );
+    let good = common::settings_of_nobody();
     let cases = [
         ("missing", good.replace("lease_s = 20.0", ""), "lease_s"),
         (
@@ -697,13 +691,7 @@
     use knotlanding::api::workers::respond;
     use knotlanding::leader::{Lead, OwnLease, SHORTEST_LEASE};
     use knotlanding::model::Term;
-    let text = common::settings_text(
-        "knot-0",
-        "127.0.0.1:1",
-        "127.0.0.1:2",
-        "127.0.0.1:3",
-        "127.0.0.1:4",
-    );
+    let text = common::settings_of_nobody();
     let settings = Settings::parse(&text, "a test").unwrap();
     let shared = knotlanding::service::Shared::new(settings);
     let start = Instant::now();
