--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -16,7 +16,7 @@
 use knotlanding::config::{Settings, WorkerSettings};
 use knotlanding::fleet::{self, Action, Look, Market, Offer, Thrift};
 use knotlanding::leader::{renew_every, Lead, OwnLease, SHORTEST_LEASE};
-use knotlanding::model::{Amount, JobId, JobSpec, MachineId, Term, Token, Verdict};
+use knotlanding::model::{Amount, JobId, JobSpec, MachineId, Shape, Term, Token, Verdict};
 use knotlanding::sched::{self, Decisions, Short};
 use knotlanding::service::Shared;
 use knotlanding::store::keys::{self, JobRecord, LeaderRecord, LiveRecord, TermRecord};
@@ -1207,7 +1207,10 @@
         for key in keys {
             let state = self.workers[name].tasks[&key].clone();
             let (job, _) = task_parts(&key.0);
-            let gang = self.jobs.get(job).is_some_and(|j| j.spec.one_zone);
+            let gang = self
+                .jobs
+                .get(job)
+                .is_some_and(|j| j.spec.shape == Shape::Gang);
             let next = match state.phase {
                 TaskPhase::Pulling if t >= state.until => {
                     self.starts_on(name, &key.0);
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -34,6 +34,8 @@
         3 => {
             let mut job = array(&id, 2);
             job.team = "blue".to_owned();
+            // An array bound to one zone.
+            job.one_zone = true;
             (job, 40.0)
         }
         _ => (gang(&id, 3), 15.0),
@@ -282,6 +284,40 @@
     });
 }
 
+/// One-task jobs, four a second for a minute, a quarter of them cancelled at once or soon.
+#[test]
+fn a_swarm_of_single_tasks_of_which_a_quarter_is_cancelled() {
+    for seed in drawn() {
+        let troubles = [
+            trouble(20.0, 0.0, Fault::CrashLeader(1.0)),
+            trouble(30.0, 20.0, late(0.2, true)),
+            trouble(45.0, 4.0, Fault::RefuseLeader),
+        ];
+        let mut world = World::new(seed, &settings());
+        for at in 0..240 {
+            world.play(2.0 + f64::from(at) * 0.25, &troubles);
+            let id = |at: i32| format!("wk-{:06}", at + 1);
+            let mut job = array(&id(at), 1);
+            job.team = "blue".to_owned();
+            job.need.cpus = 2.0;
+            job.need.gpus = 0.0;
+            job.need.memory = 1.0;
+            world.want(job, 3.0);
+            if at % 4 == 3 {
+                world.cancel(&id(at - at % 8));
+            }
+        }
+        world.play(62.0 + PATIENCE, &troubles);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.unfinished(), Vec::<String>::new(), "seed {seed}");
+        let (done, cancelled) = world.over();
+        assert!(
+            done > 100 && cancelled > 5,
+            "{done} done, {cancelled} cancelled"
+        );
+    }
+}
+
 /// Two or three troubles drawn, again and again. A seed that broke a rule is kept below.
 #[test]
 fn whatever_meets_breaks_no_rule() {
