--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -334,8 +334,15 @@
     pub kept_delivered: usize,
     /// The nodes refuse each other's connections.
     pub peers_refuse: bool,
+    /// From then on there are no troubles, and nobody waits for nothing.
+    pub calm_from: f64,
+    /// Since when jobs wait though there is room for them.
+    neglected: BTreeMap<String, f64>,
 }
 
+/// How long a job may wait while a machine that fits has room and its team is under its limit.
+const LONGEST_WAIT: f64 = 90.0;
+
 fn task_parts(task: &str) -> (&str, u32) {
     let (job, index) = task.split_once('/').unwrap();
     (job, index.parse().unwrap())
@@ -375,6 +382,8 @@
             kept_delivered: 0,
             // What peers tell only makes things faster; nothing may hang on it.
             peers_refuse: seed % 2 == 1,
+            calm_from: f64::INFINITY,
+            neglected: BTreeMap::new(),
             settings,
         };
         for number in 0..3 {
@@ -1738,6 +1747,71 @@
         }
     }
 
+    /// Whether tasks of the job wait while there is room for them.
+    fn waits_in_vain(&self, id: &str) -> bool {
+        let job = &self.jobs[id];
+        let over = job.told_done.is_some() || job.asked_to_cancel;
+        if job.told_accepted.is_none() || over {
+            return false;
+        }
+        let placed = |task: &str| {
+            let on = |((at, _), state): (&(String, u64), &Task)| {
+                at == task && state.phase != TaskPhase::Exited
+            };
+            self.workers.values().any(|w| w.tasks.iter().any(on))
+        };
+        let tasks = (0..job.spec.tasks).map(|index| format!("{id}/{index}"));
+        let waiting = tasks.filter(|task| !self.completed.contains(task) && !placed(task));
+        let waiting = waiting.count() as u32;
+        if waiting == 0 {
+            return false;
+        }
+        let gang = job.spec.shape == Shape::Gang;
+        if gang && waiting < job.spec.tasks {
+            // The rest of it has to stop first.
+            return false;
+        }
+        let wanted = if gang { waiting } else { 1 };
+        let mut used = job.spec.need.times(wanted);
+        let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let mut taken = job.spec.need;
+            for ((task, _), state) in &worker.tasks {
+                let other = &self.jobs[task_parts(task).0].spec;
+                if state.phase != TaskPhase::Exited {
+                    taken.add(&other.need);
+                    if other.team == job.spec.team {
+                        used.add(&other.need);
+                    }
+                }
+            }
+            let build = builds().into_iter().find(|b| b.name == worker.build);
+            if build.is_some_and(|build| taken.fits(&build.room)) {
+                *zones.entry(&worker.zone).or_default() += 1;
+            }
+        }
+        let room = zones.values().any(|count| *count >= wanted);
+        // An array bound to one zone has room where its other tasks are, or anywhere without any.
+        let bound = job.spec.one_zone && !gang && waiting < job.spec.tasks;
+        room && !bound && self.policy.within_limit(&job.spec.team, &used)
+    }
+
+    /// Nobody waits for nothing once the troubles are over.
+    fn check_waits(&mut self) {
+        let ids: Vec<String> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            if !self.waits_in_vain(&id) {
+                self.neglected.remove(&id);
+                continue;
+            }
+            let t = self.t;
+            let since = *self.neglected.entry(id.clone()).or_insert(t);
+            if t - since > LONGEST_WAIT {
+                self.break_rule("neglected", id);
+            }
+        }
+    }
+
     /// Plays until then.
     pub fn play(&mut self, until: f64, troubles: &[Trouble]) {
         while self.t < until && self.broken.is_empty() {
@@ -1765,6 +1839,10 @@
             names.iter().for_each(|name| self.worker(name));
             self.users();
             self.check();
+            // Once a second is enough for a wait of ninety.
+            if t > self.calm_from && ((t / STEP) as u64).is_multiple_of(20) {
+                self.check_waits();
+            }
         }
     }
 
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -46,6 +46,7 @@
 fn play(seed: u64, troubles: &[Trouble]) -> World {
     let mut world = World::new(seed, &settings());
     let last = troubles.iter().map(|t| t.at + t.lasts).fold(20.0, f64::max);
+    world.calm_from = last;
     let count = (last / 4.0) as usize;
     for at in 0..count {
         world.play(2.0 + at as f64 * 4.0, troubles);
