--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -109,7 +109,7 @@
     }
 
     /// Keeps below the cloud's limit; a burst of a second's worth is fine.
-    async fn slowdown(&mut self) {
+    async fn wait_for_limit(&mut self) {
         loop {
             let wait = self.calls.wait(1.0, Instant::now());
             if wait.is_zero() {
@@ -189,7 +189,7 @@
     }
 
     async fn read_catalog(&mut self) {
-        self.slowdown().await;
+        self.wait_for_limit().await;
         match self.cloud.catalog().await {
             Ok(builds) => {
                 self.catalog_at = Some(Instant::now());
@@ -205,7 +205,7 @@
     }
 
     async fn read_list(&mut self) {
-        self.slowdown().await;
+        self.wait_for_limit().await;
         match self.cloud.list().await {
             Ok(list) => {
                 let now = Instant::now();
@@ -260,7 +260,7 @@
     }
 
     async fn hire(&mut self, hire: HireBody, offer: Offer) -> Hired {
-        self.slowdown().await;
+        self.wait_for_limit().await;
         if !self.leads() {
             return Hired::Unknown;
         }
@@ -302,7 +302,7 @@
     }
 
     async fn give_back(&mut self, ids: Vec<MachineId>, why: &'static str) {
-        self.slowdown().await;
+        self.wait_for_limit().await;
         if !self.leads() {
             // Should we lead again in this term, it is still to be done.
             self.unreturned.push((ids, why));
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -29,6 +29,7 @@
 
 /// `GET /up`
 pub async fn up(shared: web::Data<Shared>) -> HttpResponse {
+    shared.metrics.lock().requests.health_checks += 1;
     if shared.fit_for_requests(Instant::now()) {
         HttpResponse::Ok().finish()
     } else {
@@ -111,6 +112,7 @@
     store: Store,
     path: web::Path<String>,
 ) -> HttpResponse {
+    shared.metrics.lock().requests.polls += 1;
     let Some(id) = JobId::parse(&path) else {
         return problem(StatusCode::NOT_FOUND, "no such job");
     };
@@ -151,6 +153,7 @@
     body: Result<web::Bytes, actix_web::Error>,
 ) -> HttpResponse {
     let began = Instant::now();
+    shared.metrics.lock().requests.submissions += 1;
     let Ok(body) = body else {
         return problem(StatusCode::BAD_REQUEST, "body too large or cut off");
     };
@@ -252,6 +255,7 @@
     store: Store,
     path: web::Path<String>,
 ) -> HttpResponse {
+    shared.metrics.lock().requests.cancellations += 1;
     let Some(id) = JobId::parse(&path) else {
         return problem(StatusCode::NOT_FOUND, "no such job");
     };
--- a/src/store/actor.rs
+++ b/src/store/actor.rs
@@ -252,7 +252,7 @@
     }
 
     /// Waits until the limits allow, then takes from them.
-    pub(super) async fn slowdown(&self, requests: f64, writes: f64) {
+    pub(super) async fn wait_for_limit(&self, requests: f64, writes: f64) {
         while let Some(wait) = self.wait_for(requests, writes) {
             actix::clock::sleep(wait).await;
         }
@@ -323,7 +323,7 @@
             all.apply.extend(waiting.group.apply.iter().cloned());
         }
         if std::mem::replace(&mut again, true) {
-            inner.slowdown(1.0, all.apply.len() as f64).await;
+            inner.wait_for_limit(1.0, all.apply.len() as f64).await;
         }
         let sent = Instant::now();
         let outcome = inner.client.transact(&all).await;
--- a/src/store/reads.rs
+++ b/src/store/reads.rs
@@ -102,7 +102,7 @@
 
 /// Stays open until something changes, with reads in between for those who ask meanwhile.
 async fn wait_for_changes(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
-    inner.slowdown(1.0, 0.0).await;
+    inner.wait_for_limit(1.0, 0.0).await;
     let leads = inner.shared.role.lock().own_term().is_some();
     let hold = if leads { LEADER_WATCH_HOLD } else { WATCH_HOLD };
     let sent = Instant::now();
@@ -117,7 +117,7 @@
                     Err(StoreError::Unknown) => {}
                     got => inner.note(sent, got.as_ref().err()),
                 }
-                take(inner, &got?, sent);
+                apply_read(inner, &got?, sent);
                 return Ok(WATCH_INTERVAL);
             }
             Either::Right(((), open)) => {
@@ -133,7 +133,7 @@
 
 /// Brings the replica up to date, then answers all who asked before that.
 async fn read_latest(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
-    inner.slowdown(1.0, 0.0).await;
+    inner.wait_for_limit(1.0, 0.0).await;
     let waiting = inner.pending_reads.take();
     let sent = Instant::now();
     let limit = READ_LIMIT.mul_f64(inner.slowness);
@@ -148,7 +148,7 @@
             return Err(error);
         }
     };
-    take(inner, &got, sent);
+    apply_read(inner, &got, sent);
     let mut unknown = BTreeMap::new();
     for (id, replies) in waiting {
         let known = inner.shared.replica.lock().verdict(&id);
@@ -182,7 +182,7 @@
             when: when.collect(),
             apply: Vec::new(),
         };
-        inner.slowdown(1.0, 0.0).await;
+        inner.wait_for_limit(1.0, 0.0).await;
         let sent = Instant::now();
         let outcome = inner.client.transact(&group).await;
         inner.note(sent, outcome.failure());
@@ -204,7 +204,7 @@
 
 /// Asks for one verdict.
 async fn read_verdict(inner: &Inner, id: &JobId) -> VerdictAnswer {
-    inner.slowdown(1.0, 0.0).await;
+    inner.wait_for_limit(1.0, 0.0).await;
     let sent = Instant::now();
     let read = inner.client.get(&keys::job(id)).await;
     inner.note(sent, read.as_ref().err());
@@ -224,7 +224,7 @@
     let mut revision = None;
     loop {
         let after = rows.last().map(|row| row.key.clone());
-        inner.slowdown(1.0, 0.0).await;
+        inner.wait_for_limit(1.0, 0.0).await;
         let page = inner.client.page(keys::ROOT, after.as_deref()).await?;
         // The first page's revision: the watch then brings again what changed meanwhile.
         let first = *revision.get_or_insert(page.revision);
@@ -256,12 +256,13 @@
 }
 
 /// Takes what a watch or a read that was sent then brought.
-fn take(inner: &Inner, got: &Follow, sent: Instant) {
+fn apply_read(inner: &Inner, got: &Follow, sent: Instant) {
     let (changes, revision) = {
         let mut replica = inner.shared.replica.lock();
         let changes = replica.apply(&got.events, got.revision);
         (changes, replica.revision)
     };
+    inner.shared.metrics.lock().replica_events += got.events.len() as u64;
     inner.shared.revision.send_replace(revision);
     inner.shared.tell(&changes);
     inner.shared.replica_complete(sent);
--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -1,6 +1,9 @@
 //! Stand-ins for the systems outside, met through their protocols on loopback: the state
 //! service, the cloud, and workers.
 
+// Each test binary uses a part of it.
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicUsize, Ordering};
