--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -1,7 +1,9 @@
 //! Owner of what the nodes tell each other: the leader's digest.
 
+use std::cell::RefCell;
 use std::net::SocketAddrV4;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +14,7 @@
 use awc::Client;
 
 use crate::model::Term;
-use crate::peer::digest::{Digest, DigestReply, DIGEST};
+use crate::peer::digest::{Digest, DigestRecipient, DigestReply, DIGEST};
 use crate::peer::{self, cancelled, contact};
 use crate::service::contact::{PeerContactAnswer, PeerContacts};
 use crate::service::misdirected::MANY_MISDIRECTED;
@@ -26,9 +28,6 @@
 /// A peer that takes longer misses one.
 const TELL_LIMIT: Duration = Duration::from_millis(900);
 
-/// Time between two digests of everything to the same peer.
-const TELL_ALL_EVERY: Duration = Duration::from_secs(5);
-
 /// Looks further apart than that: the process stood still.
 const STOOD_STILL: Duration = Duration::from_millis(2500);
 
@@ -43,10 +42,8 @@
 struct Peer {
     member: String,
     address: SocketAddrV4,
-    /// It said that it lacks what changes build on.
-    lacks: Arc<AtomicBool>,
-    /// When it was last told everything.
-    told_all: Option<Instant>,
+    /// What it lacks, shared with the requests under way.
+    recipient: Rc<RefCell<DigestRecipient>>,
 }
 
 /// The actor.
@@ -69,8 +66,7 @@
         let peers = known.map(|peer| Peer {
             member: peer.member.clone(),
             address: peer.peer_addr,
-            lacks: Arc::default(),
-            told_all: None,
+            recipient: Rc::default(),
         });
         Self {
             peers: peers.collect(),
@@ -148,13 +144,12 @@
         if lead.term != self.term {
             self.term = lead.term;
             self.number = 0;
+            for peer in &self.peers {
+                *peer.recipient.borrow_mut() = DigestRecipient::default();
+            }
         }
-        // Everything is large, and a peer that is as slow to answer as we are to hear it would be
-        // told it again and again.
-        let rested = |at: Instant| now.saturating_duration_since(at) >= TELL_ALL_EVERY;
-        let lacking =
-            |peer: &Peer| peer.lacks.load(Ordering::Relaxed) && peer.told_all.is_none_or(rested);
-        let anyone_lacks = self.peers.iter().any(lacking);
+        let wants_full = |peer: &Peer| peer.recipient.borrow().wants_full(now);
+        let anyone_lacks = self.peers.iter().any(wants_full);
         let (changes, all) = {
             let mut guard = self.shared.cluster.lock();
             let Some(cluster) = guard.as_mut().filter(|c| c.term == lead.term) else {
@@ -175,18 +170,17 @@
         let changes = digest(changes, false);
         let all = all.and_then(|news| digest(news, true));
         let (changes, all) = (changes.map(Bytes::from), all.map(Bytes::from));
-        let lacking: Vec<bool> = self.peers.iter().map(lacking).collect();
-        for (at, lacks) in lacking.into_iter().enumerate() {
-            if lacks {
-                // Should it not arrive, the answer to the next digest of changes says so.
-                self.peers[at].lacks.store(false, Ordering::Relaxed);
-                self.peers[at].told_all = Some(now);
-            }
-            let body = if lacks { &all } else { &changes };
-            if let Some(body) = body {
-                self.count_digest(lacks, body.len());
-                self.send(&self.peers[at], body.clone());
+        for peer in &self.peers {
+            let full = wants_full(peer);
+            let body = if full { &all } else { &changes };
+            let Some(body) = body else {
+                continue;
+            };
+            if full {
+                peer.recipient.borrow_mut().full_sent(self.number, now);
             }
+            self.count_digest(full, body.len());
+            self.send(peer, body.clone());
         }
     }
 
@@ -272,12 +266,13 @@
             .timeout(TELL_LIMIT)
             .content_type(peer::BINCODE)
             .send_body(body);
-        let lacks = peer.lacks.clone();
+        let (recipient, number) = (peer.recipient.clone(), self.number);
         let (shared, member) = (self.shared.clone(), peer.member.clone());
         actix::spawn(async move {
             // Without an answer nothing is known: the next digest of changes will tell.
             if let Ok(mut answer) = sent.await {
-                lacks.store(answer.status() == StatusCode::CONFLICT, Ordering::Relaxed);
+                let lacks = answer.status() == StatusCode::CONFLICT;
+                recipient.borrow_mut().answered(number, lacks);
                 // Read to its end so that the connection can be used again.
                 let body = answer.body().await.unwrap_or_default();
                 if let Some(DigestReply { misdirected }) = peer::decode(&body) {
--- a/src/peer/digest.rs
+++ b/src/peer/digest.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_web::{web, HttpResponse};
 use serde::{Deserialize, Serialize};
@@ -67,6 +67,42 @@
     pub images: Vec<(String, f32)>,
 }
 
+/// Time between two digests of everything to the same peer. Everything is large, and a peer that is
+/// as slow to answer as the leader is to hear it would be told it again and again.
+const FULL_DIGEST_INTERVAL: Duration = Duration::from_secs(5);
+
+/// A peer as the leader's digests see it: whether it lacks what the next changes build on.
+#[derive(Debug, Default)]
+pub struct DigestRecipient {
+    lacks: bool,
+    /// The last digest of everything sent to it: its number, and when.
+    full: Option<(u64, Instant)>,
+}
+
+impl DigestRecipient {
+    /// Whether the next digest to it should hold everything.
+    pub fn wants_full(&self, now: Instant) -> bool {
+        let rested = |(_, at)| now.saturating_duration_since(at) >= FULL_DIGEST_INTERVAL;
+        self.lacks && self.full.is_none_or(rested)
+    }
+
+    /// A digest of everything was sent to it. Should it not arrive, the answer to the next one of
+    /// changes says so.
+    pub fn full_sent(&mut self, number: u64, now: Instant) {
+        self.lacks = false;
+        self.full = Some((number, now));
+    }
+
+    /// It answered a digest. An answer to one from before the last of everything says nothing of
+    /// what the peer has now: taken as it stands, it cost another digest of everything.
+    pub fn answered(&mut self, number: u64, lacks: bool) {
+        let outdated = self.full.is_some_and(|(full, _)| number < full);
+        if !outdated {
+            self.lacks = lacks;
+        }
+    }
+}
+
 /// Machines remembered as gone: late copies of their reports come within minutes.
 const GONE_KEPT: usize = 1024;
 
--- a/src/peer/digest/tests.rs
+++ b/src/peer/digest/tests.rs
@@ -66,3 +66,38 @@
     assert_eq!(decode::<Digest>(&bytes[..bytes.len() - 1]), None);
     assert_eq!(decode::<Digest>(&[0xff; 64]), None);
 }
+
+/// Every digest of everything holds all machines: a node that has the one before gets none, however
+/// its answers are delayed.
+#[test]
+fn no_digest_of_everything_goes_to_a_node_that_has_the_one_before() {
+    let start = Instant::now();
+    let at = |s: u64| start + Duration::from_secs(s);
+    let mut peer = DigestRecipient::default();
+    let mut full = Vec::new();
+    // Its answers come three seconds late: to the digests 1 to 3 it says that it lacks the base.
+    for second in 1..=60 {
+        if second > 3 {
+            let number = second - 3;
+            let had_full = full.first().is_some_and(|first| number >= *first);
+            peer.answered(number, !had_full);
+        }
+        if peer.wants_full(at(second)) {
+            peer.full_sent(second, at(second));
+            full.push(second);
+        }
+    }
+    assert_eq!(full, [4], "once, though four answers said that it lacks it");
+
+    // One that never takes it is told again, at intervals.
+    let mut peer = DigestRecipient::default();
+    let mut full = 0;
+    for second in 1..=60 {
+        peer.answered(second, true);
+        if peer.wants_full(at(second)) {
+            peer.full_sent(second, at(second));
+            full += 1;
+        }
+    }
+    assert_eq!(full, 12, "every five seconds at most");
+}
