--- a/src/actors/mod.rs
+++ b/src/actors/mod.rs
@@ -3,5 +3,6 @@
 pub mod fleet;
 pub mod forward;
 pub mod leader;
+pub mod metrics;
 pub mod peers;
 pub mod round;
--- a/src/api/admin.rs
+++ b/src/api/admin.rs
@@ -14,7 +14,7 @@
 use super::RETRY_AFTER_S;
 use crate::cluster::{Cluster, Job, Machine};
 use crate::leader::Standing;
-use crate::metrics::{resident_bytes, DigestMetrics, ReportMetrics, RequestMetrics, Summary};
+use crate::metrics::resident_bytes;
 use crate::model::{JobId, MachineId};
 use crate::service::operator::OperatorSettings;
 use crate::service::Shared;
@@ -115,29 +115,6 @@
     jobs: BTreeMap<String, JobStatus>,
 }
 
-#[derive(Debug, Serialize)]
-struct MetricsView {
-    round_time: Summary,
-    waiting: Summary,
-    submission: Summary,
-    accepted: u64,
-    refused: u64,
-    terms: u64,
-    starts: u64,
-    stops: u64,
-    rented: u64,
-    returned: u64,
-    rounds_part: f64,
-    take_over: Summary,
-    direct_commands: u64,
-    records_written: u64,
-    replica_events: u64,
-    reports: ReportMetrics,
-    requests: RequestMetrics,
-    digests: DigestMetrics,
-    resident_bytes: Option<u64>,
-}
-
 /// `GET /admin/status`
 pub async fn status(shared: web::Data<Shared>) -> HttpResponse {
     HttpResponse::Ok().json(view(&shared))
@@ -225,30 +202,8 @@
 
 /// `GET /admin/metrics`
 pub async fn metrics(shared: web::Data<Shared>) -> HttpResponse {
-    let mut view = {
-        let m = shared.metrics.lock();
-        MetricsView {
-            round_time: m.rounds.summary(),
-            waiting: m.waits.summary(),
-            submission: m.submissions.summary(),
-            accepted: m.accepted,
-            refused: m.refused,
-            terms: m.terms,
-            starts: m.starts,
-            stops: m.stops,
-            rented: m.rented,
-            returned: m.returned,
-            rounds_part: m.rounds_part(Instant::now()),
-            take_over: m.take_overs.summary(),
-            direct_commands: m.direct_commands,
-            records_written: m.records_written,
-            replica_events: m.replica_events,
-            reports: m.reports.clone(),
-            requests: m.requests.clone(),
-            digests: m.digests.clone(),
-            resident_bytes: None,
-        }
-    };
+    let now = Instant::now();
+    let mut view = shared.metrics.lock().view(now);
     view.resident_bytes = resident_bytes();
     HttpResponse::Ok().json(view)
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -198,6 +198,31 @@
         self.rounds_total += took;
     }
 
+    /// All of them as they are now, but for the memory, which is asked of the system.
+    pub fn view(&self, now: Instant) -> MetricsView {
+        MetricsView {
+            round_time: self.rounds.summary(),
+            waiting: self.waits.summary(),
+            submission: self.submissions.summary(),
+            accepted: self.accepted,
+            refused: self.refused,
+            terms: self.terms,
+            starts: self.starts,
+            stops: self.stops,
+            rented: self.rented,
+            returned: self.returned,
+            rounds_part: self.rounds_part(now),
+            take_over: self.take_overs.summary(),
+            direct_commands: self.direct_commands,
+            records_written: self.records_written,
+            replica_events: self.replica_events,
+            reports: self.reports.clone(),
+            requests: self.requests.clone(),
+            digests: self.digests.clone(),
+            resident_bytes: None,
+        }
+    }
+
     /// Part of the time since the start of the process that rounds took, waits for the processor
     /// included.
     pub fn rounds_part(&self, now: Instant) -> f64 {
@@ -210,6 +235,49 @@
     }
 }
 
+/// All figures as operators see them.
+#[derive(Debug, Serialize)]
+pub struct MetricsView {
+    /// Time a round took.
+    pub round_time: Summary,
+    /// Time from submission to a job's first running task.
+    pub waiting: Summary,
+    /// Time this node took to answer a submission.
+    pub submission: Summary,
+    /// Submissions accepted here.
+    pub accepted: u64,
+    /// Submissions refused for the time being.
+    pub refused: u64,
+    /// Terms led by this process.
+    pub terms: u64,
+    /// Starts sent out by rounds.
+    pub starts: u64,
+    /// Tasks stopped by rounds.
+    pub stops: u64,
+    /// Machines rented.
+    pub rented: u64,
+    /// Machines returned.
+    pub returned: u64,
+    /// Part of the time since the start of the process that rounds took.
+    pub rounds_part: f64,
+    /// Time from a take-over until all machines were settled.
+    pub take_over: Summary,
+    /// Direct commands sent to workers.
+    pub direct_commands: u64,
+    /// Records written.
+    pub records_written: u64,
+    /// Changes that the watch brought.
+    pub replica_events: u64,
+    /// Reports of workers.
+    pub reports: ReportMetrics,
+    /// Requests of users.
+    pub requests: RequestMetrics,
+    /// Digests.
+    pub digests: DigestMetrics,
+    /// Resident memory, where the system tells it.
+    pub resident_bytes: Option<u64>,
+}
+
 /// Where the system tells how much memory a process holds.
 const STATM: &str = "/proc/self/statm";
 /// Size of a page on the platforms that this runs on.
--- a/src/run.rs
+++ b/src/run.rs
@@ -11,6 +11,7 @@
 use crate::actors::fleet::FleetActor;
 use crate::actors::forward::ForwardActor;
 use crate::actors::leader::LeaderActor;
+use crate::actors::metrics::MetricsActor;
 use crate::actors::peers::PeersActor;
 use crate::actors::round::{RoundActor, Shortages};
 use crate::config::Settings;
@@ -107,6 +108,7 @@
     FleetActor::new(shared.clone(), cloud, shortages).start();
     // A leader that is slow to answer must not hold the places of the digests.
     ForwardActor::new(shared.clone(), http_client(sockets.forwarding)).start();
+    MetricsActor::new(shared.clone()).start();
     PeersActor::new(shared, store, http).start();
 
     info!(member, %public_addr, %peer_bind, "serving");
