--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -9,7 +9,7 @@
 use super::{build_named, Cluster, Place};
 use crate::config::secs;
 use crate::model::{Attempt, JobId, MachineId, TaskId, Token};
-use crate::wire::{Cause, Order, Report, TaskPhase};
+use crate::wire::{Cause, Order, Report, ReportedTask, TaskPhase};
 
 /// Jobs of which a machine's slowdown is compared with the others'.
 const JOBS_TO_COMPARE: usize = 3;
@@ -41,6 +41,17 @@
     Deposed,
 }
 
+/// Where a reported task stands.
+fn phase_of(reported: &ReportedTask) -> Phase {
+    match reported.phase {
+        TaskPhase::Pulling => Phase::Pulling,
+        TaskPhase::Gathering => Phase::Gathering,
+        TaskPhase::Running => Phase::Running,
+        TaskPhase::Flushing => Phase::Flushing,
+        TaskPhase::Exited => Phase::Exited(reported.cause.unwrap_or(Cause::Other)),
+    }
+}
+
 impl Cluster {
     /// Takes a report. One that the worker sent by itself shows what became of starts sent in
     /// the answer to the one before, but may be a late copy; one that answers a command of ours
@@ -55,33 +66,71 @@
         if self.departed.contains(&id) {
             return Verified::Older;
         }
+        if !self.is_news(&id, report, source, now) {
+            return Verified::Older;
+        }
+        let newest = (report.session, report.seq);
+        let Some(was_busy) = self.take_header(&id, report, now) else {
+            return Verified::Older;
+        };
+        let listed = self.take_tasks(&id, report, now);
+        let Some(machine) = self.machines.get_mut(&id) else {
+            return Verified::Older;
+        };
+        machine.recount();
+        if machine.fenced {
+            self.settle(&id, newest, (own, now), &listed);
+            self.settled(&id);
+        }
+        if let Some(machine) = self.machines.get_mut(&id) {
+            if was_busy && !machine.busy() {
+                machine.idle_since = now;
+                self.dirty = true;
+            }
+        }
+        Verified::Newer
+    }
+
+    /// Whether a report is newer than all before. One that begins a new life of the machine is.
+    fn is_news(
+        &mut self,
+        id: &MachineId,
+        report: &Report,
+        source: ReportSource,
+        now: Instant,
+    ) -> bool {
         let machine = self
             .machines
             .entry(id.clone())
             .or_insert_with(|| Machine::new(id.clone(), now));
-        let newest = (report.session, report.seq);
+        let number = (report.session, report.seq);
         // After a new beginning, copies of what the former life said may have higher numbers.
-        let former = own && token < machine.life;
-        if machine.reported.is_some() && (former || newest <= machine.newest) {
-            let asked_since = match source {
-                ReportSource::Worker => false,
-                ReportSource::Command(at) => machine.reported.is_some_and(|reported| at > reported),
-            };
-            if !asked_since || newest == machine.newest {
-                // A late copy, or a machine that begins again at one: asking it tells.
-                if newest < machine.newest && machine.probe.is_none() {
-                    machine.probe = Some((report.session, None));
-                }
-                return Verified::Older;
-            }
-            // Within one life numbers only grow, and this was said after we had the newest.
-            info!(machine = %id, "begins again");
-            self.restarted(&id);
+        let own = source == ReportSource::Worker;
+        let former = own && Token(report.token) < machine.life;
+        if machine.reported.is_none() || !(former || number <= machine.newest) {
+            return true;
         }
-        let Some(machine) = self.machines.get_mut(&id) else {
-            return Verified::Older;
+        let asked_since = match source {
+            ReportSource::Worker => false,
+            ReportSource::Command(at) => machine.reported.is_some_and(|reported| at > reported),
         };
-        let rose = machine.reported.is_some() && newest.0 > machine.newest.0;
+        if !asked_since || number == machine.newest {
+            // A late copy, or a machine that begins again at one: asking it tells.
+            if number < machine.newest && machine.probe.is_none() {
+                machine.probe = Some((report.session, None));
+            }
+            return false;
+        }
+        // Within one life numbers only grow, and this was said after we had the newest.
+        info!(machine = %id, "begins again");
+        self.restarted(id);
+        true
+    }
+
+    /// Takes all of a newer report but its tasks; whether the machine was busy before it.
+    fn take_header(&mut self, id: &MachineId, report: &Report, now: Instant) -> Option<bool> {
+        let machine = self.machines.get_mut(id)?;
+        let rose = machine.reported.is_some() && report.session > machine.newest.0;
         let held = machine
             .answered
             .is_some_and(|at| now.saturating_duration_since(at) < self.timing.lease);
@@ -90,14 +139,14 @@
             warn!(machine = %id, "its lease ended though we answered");
             machine.doubt(now);
         }
-        machine.newest = newest;
+        machine.newest = (report.session, report.seq);
         machine.probe = None;
         machine.in_vain = 0;
         machine.met.get_or_insert(now);
         if machine.reported.is_none() {
             self.dirty = true;
             machine.idle_since = now;
-            if let Some(hint) = self.hints.remove(&id) {
+            if let Some(hint) = self.hints.remove(id) {
                 let images = hint.images.iter();
                 let images = images.map(|(name, gb)| (self.images.id(name), f64::from(*gb)));
                 machine.images = images.collect();
@@ -105,6 +154,15 @@
             self.changed.machines.insert(id.clone());
         }
         machine.reported = Some(now);
+        self.take_description(id, report);
+        self.take_standing(id, report, now)
+    }
+
+    /// Takes what the machine is: its address, type, zone and kind.
+    fn take_description(&mut self, id: &MachineId, report: &Report) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
         machine.address.clone_from(&report.address);
         let known = machine.kind.and_then(|kind| self.kinds.get(kind));
         let same = known.is_some_and(|kind| {
@@ -117,16 +175,22 @@
             let kind = self.kinds.id(&report.build, &report.zone, report.spot);
             machine.kind = Some(kind);
         }
+    }
+
+    /// Takes how the machine stands: its notice, the token it has seen, whether it holds nothing;
+    /// whether it was busy before.
+    fn take_standing(&mut self, id: &MachineId, report: &Report, now: Instant) -> Option<bool> {
+        let machine = self.machines.get_mut(id)?;
         let leaves = report.notice_s.map(|s| now + secs(s));
         if machine.leaves.is_some() != leaves.is_some() {
             info!(machine = %id, notice_s = ?report.notice_s, "spot notice");
             self.dirty = true;
         }
         machine.leaves = leaves;
+        let token = Token(report.token);
         machine.fenced = token.term() == self.term;
         machine.reachability.heard(token);
         machine.token = machine.token.max(token).max(Token::first(self.term));
-        let fenced = machine.fenced;
         let was_fresh = machine.fresh;
         machine.fresh = report.token == 0 && report.tasks.is_empty() && machine.known_to_cloud;
         let was_busy = machine.busy();
@@ -135,10 +199,14 @@
             let plans = machine.slots.iter().filter(|(_, state)| !state.sent());
             let plans: Vec<SlotId> = plans.map(|(slot, _)| slot.clone()).collect();
             for slot in plans {
-                self.drop_slot(&id, &slot);
+                self.drop_slot(id, &slot);
             }
         }
+        Some(was_busy)
+    }
 
+    /// Takes the tasks of a report; all that could be read.
+    fn take_tasks(&mut self, id: &MachineId, report: &Report, now: Instant) -> Vec<SlotId> {
         let mut listed = Vec::with_capacity(report.tasks.len());
         for reported in &report.tasks {
             let Some(task) = TaskId::parse(&reported.task) else {
@@ -148,30 +216,10 @@
                 task,
                 attempt: Attempt(reported.attempt),
             };
-            let phase = match reported.phase {
-                TaskPhase::Pulling => Phase::Pulling,
-                TaskPhase::Gathering => Phase::Gathering,
-                TaskPhase::Running => Phase::Running,
-                TaskPhase::Flushing => Phase::Flushing,
-                TaskPhase::Exited => Phase::Exited(reported.cause.unwrap_or(Cause::Other)),
-            };
-            self.see(&id, &slot, phase, now);
+            self.see(id, &slot, phase_of(reported), now);
             listed.push(slot);
         }
-        if let Some(machine) = self.machines.get_mut(&id) {
-            machine.recount();
-        }
-        if fenced {
-            self.settle(&id, newest, (own, now), &listed);
-            self.settled(&id);
-        }
-        if let Some(machine) = self.machines.get_mut(&id) {
-            if was_busy && !machine.busy() {
-                machine.idle_since = now;
-                self.dirty = true;
-            }
-        }
-        Verified::Newer
+        listed
     }
 
     /// The machine is not waited for any longer.
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -5,8 +5,8 @@
 
 use super::idle::Demand;
 use super::lost::cut_off;
-use super::{FleetView, IdlePolicy, Offer};
-use crate::cluster::{Cluster, Machine};
+use super::{FleetView, IdlePolicy, Market, Offer};
+use crate::cluster::{Cluster, Kind, Machine};
 use crate::model::{Amount, Build, JobSpec, MachineId};
 use crate::sched::rooms::{Departures, Rooms};
 use crate::sched::{price_cap, Policy, Short};
@@ -105,6 +105,48 @@
     kept: HashSet<MachineId>,
 }
 
+/// All that the cloud offers, and whether it may be asked for now.
+fn rental_options<'a>(
+    cluster: &'a Cluster,
+    market: &Market,
+    now: Instant,
+) -> Vec<RentalOption<'a>> {
+    let mut options = Vec::new();
+    for build in cluster.catalog().iter() {
+        for zone in &build.zones {
+            for spot in [true, false] {
+                let offer = Offer {
+                    build: build.name.clone(),
+                    zone: zone.clone(),
+                    spot,
+                };
+                let asked = market.asks(&offer, now) && !cut_off(cluster, zone, now);
+                options.push(RentalOption {
+                    offer,
+                    build,
+                    asked,
+                });
+            }
+        }
+    }
+    options
+}
+
+/// Where machines of each kind stand among the options.
+fn offers_by_kind(cluster: &Cluster, options: &[RentalOption]) -> Vec<Option<usize>> {
+    let of_kind = |kind: &Kind| {
+        options.iter().position(|option| {
+            let offer = &option.offer;
+            offer.build == kind.build && offer.zone == kind.zone && offer.spot == kind.spot
+        })
+    };
+    cluster
+        .kinds
+        .iter()
+        .map(|(_, kind)| of_kind(kind))
+        .collect()
+}
+
 impl<'a> Planner<'a> {
     /// Room on machines that take tasks, and on machines that boot.
     pub(super) fn new(fleet_view: &FleetView<'a>, leaving: &HashSet<MachineId>) -> Self {
@@ -115,35 +157,8 @@
             now,
             ..
         } = *fleet_view;
-        let mut options = Vec::new();
-        for build in cluster.catalog().iter() {
-            for zone in &build.zones {
-                for spot in [true, false] {
-                    let offer = Offer {
-                        build: build.name.clone(),
-                        zone: zone.clone(),
-                        spot,
-                    };
-                    let asked = market.asks(&offer, now) && !cut_off(cluster, zone, now);
-                    options.push(RentalOption {
-                        offer,
-                        build,
-                        asked,
-                    });
-                }
-            }
-        }
-        // Where machines of a kind stand among the options.
-        let offer_by_kind: Vec<Option<usize>> = cluster
-            .kinds
-            .iter()
-            .map(|(_, kind)| {
-                options.iter().position(|option| {
-                    let offer = &option.offer;
-                    offer.build == kind.build && offer.zone == kind.zone && offer.spot == kind.spot
-                })
-            })
-            .collect();
+        let options = rental_options(cluster, market, now);
+        let offer_by_kind = offers_by_kind(cluster, &options);
         let offer_of = |machine: &Machine| {
             let kind = machine.kind?;
             offer_by_kind.get(usize::from(kind.0)).copied().flatten()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,9 +5,6 @@
 //! nothing of the gang starts. The modules are the parts; `actors` own the loops, the rest
 //! decides or talks.
 
-#![warn(missing_docs)]
-#![forbid(unsafe_code)]
-
 pub mod actors;
 pub mod api;
 pub mod cli;
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -123,15 +123,7 @@
     let lowest = cluster.jobs.values().filter(|j| j.placed());
     let lowest = lowest.map(|j| j.spec.rank).min();
     let mut used = staying_use(cluster);
-    let mut promised: BTreeMap<MachineId, Amount> = BTreeMap::new();
-    for start in &decisions.starts {
-        if let Some(job) = cluster.jobs.get(&start.job) {
-            for (_, machine) in &start.members {
-                let sum = promised.entry(machine.clone()).or_default();
-                sum.add(&job.spec.need);
-            }
-        }
-    }
+    let mut promised = promised_to_starts(cluster, decisions);
     let mut taken: HashSet<(MachineId, SlotId)> = HashSet::new();
     let rooms = Rooms::of(cluster, now);
     let mut departures = Departures::of(&rooms, now);
@@ -146,29 +138,13 @@
             break;
         }
         looks -= 1;
-        let spec = &claimant.job.spec;
-        let wait_limit = wait_limit(view, claimant);
         // Room in two zones is of no use to a job bound to one.
-        let zones = if spec.one_zone {
+        let zones = if claimant.job.spec.one_zone {
             allocate::zones_to_try(view, claimant.job, &rooms)
         } else {
             vec![None]
         };
-        let in_zone = |zone: &Option<String>| {
-            departures.could_serve(&rooms, (spec, zone.as_deref()), *tasks, wait_limit)
-        };
-        let best = zones
-            .iter()
-            .max_by_key(|zone| in_zone(zone))
-            .cloned()
-            .flatten();
-        let served = departures.serve(&rooms, (spec, best.as_deref()), *tasks, wait_limit);
-        // A gang gains nothing by room for a part of it.
-        let tasks = if claimant.job.gang() && served < *tasks {
-            *tasks
-        } else {
-            *tasks - served
-        };
+        let tasks = without_room_in_time(view, claimant, *tasks, (&rooms, &zones), &mut departures);
         if tasks == 0 {
             continue;
         }
@@ -213,6 +189,49 @@
     }
 }
 
+/// What the round's starts will take of each machine.
+fn promised_to_starts(cluster: &Cluster, decisions: &Decisions) -> BTreeMap<MachineId, Amount> {
+    let mut promised: BTreeMap<MachineId, Amount> = BTreeMap::new();
+    for start in &decisions.starts {
+        let Some(job) = cluster.jobs.get(&start.job) else {
+            continue;
+        };
+        for (_, machine) in &start.members {
+            let sum = promised.entry(machine.clone()).or_default();
+            sum.add(&job.spec.need);
+        }
+    }
+    promised
+}
+
+/// How many of the claimant's tasks find no room that comes free by itself in time. That room is
+/// taken for the others.
+fn without_room_in_time(
+    view: View,
+    claimant: &Entry,
+    tasks: u32,
+    (rooms, zones): (&Rooms, &[Option<String>]),
+    departures: &mut Departures,
+) -> u32 {
+    let spec = &claimant.job.spec;
+    let wait_limit = wait_limit(view, claimant);
+    let in_zone = |zone: &Option<String>| {
+        departures.could_serve(rooms, (spec, zone.as_deref()), tasks, wait_limit)
+    };
+    let best = zones
+        .iter()
+        .max_by_key(|zone| in_zone(zone))
+        .cloned()
+        .flatten();
+    let served = departures.serve(rooms, (spec, best.as_deref()), tasks, wait_limit);
+    // A gang gains nothing by room for a part of it.
+    if claimant.job.gang() && served < tasks {
+        tasks
+    } else {
+        tasks - served
+    }
+}
+
 /// What teams use without what is about to stop: only as much is taken from a team as it has
 /// beyond its guarantee.
 fn staying_use(cluster: &Cluster) -> HashMap<&str, Amount> {
--- /dev/null
+++ b/tests/common/world/controllers.rs
@@ -0,0 +1,489 @@
+//! The model's controllers: their own parts run as they are, their actors are played.
+
+use super::*;
+
+pub(super) struct Node {
+    pub(super) name: String,
+    pub(super) shared: Arc<Shared>,
+    pub(super) life: u64,
+    pub(super) up: bool,
+    pub(super) back_at: f64,
+    pub(super) frozen_until: f64,
+    pub(super) loaded: bool,
+    pub(super) reading: bool,
+    pub(super) read_at: f64,
+    pub(super) elect_at: f64,
+    pub(super) electing: bool,
+    pub(super) renewing: bool,
+    pub(super) round_at: f64,
+    pub(super) round_due: Option<(Term, f64)>,
+    pub(super) rest_until: f64,
+    pub(super) fleet_at: f64,
+    pub(super) short: Vec<Short>,
+    pub(super) market: Market,
+    pub(super) held: Vec<Mail>,
+    pub(super) forwarded: Forwarded,
+}
+
+impl World {
+    pub(super) fn fresh_node(&self, number: usize, life: u64) -> Node {
+        let mut settings = self.settings.clone();
+        settings.member = format!("knot-{number}");
+        let others = (0..3).filter(|other| *other != number);
+        settings.known = others
+            .map(|other| Peer {
+                member: format!("knot-{other}"),
+                area: "north".to_owned(),
+                peer_addr: "127.0.0.1:9".parse().unwrap(),
+            })
+            .collect();
+        let shared = Shared::new(settings);
+        *shared.catalog.lock() = Some(Arc::new(builds()));
+        Node {
+            name: format!("knot-{number}"),
+            shared,
+            life,
+            up: true,
+            back_at: 0.0,
+            frozen_until: 0.0,
+            loaded: false,
+            reading: false,
+            read_at: self.t,
+            elect_at: self.t,
+            electing: false,
+            renewing: false,
+            round_at: self.t,
+            round_due: None,
+            rest_until: 0.0,
+            fleet_at: self.t + 1.0,
+            short: Vec::new(),
+            market: Market::default(),
+            held: Vec::new(),
+            forwarded: Forwarded::default(),
+        }
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        n: usize,
+        answered: StoreResponse,
+        why: RequestPurpose,
+        sent: f64,
+    ) {
+        let now = self.instant();
+        let sent_at = self.start + Duration::from_secs_f64(sent);
+        let shared = self.nodes[n].shared.clone();
+        let failed = match &answered {
+            StoreResponse::Failed(error) => Some(error.clone()),
+            StoreResponse::Outcome(Outcome::Failed(error)) => Some(error.clone()),
+            _ => None,
+        };
+        if failed.as_ref().is_some_and(StoreError::contact_lost) {
+            shared.role.lock().freshness().doubt(now);
+        }
+        match (&why, answered) {
+            (RequestPurpose::Load, StoreResponse::Rows(rows, revision)) => {
+                let news = shared.replica.lock().load(rows, revision);
+                shared.tell(&news);
+                shared.replica_complete(sent_at);
+                self.nodes[n].loaded = true;
+            }
+            (
+                RequestPurpose::Read | RequestPurpose::Poll(_) | RequestPurpose::CancelRead(_),
+                StoreResponse::Events(events, revision),
+            ) => {
+                let news = shared.replica.lock().apply(&events, revision);
+                shared.tell(&news);
+                shared.replica_complete(sent_at);
+            }
+            (RequestPurpose::Grant, StoreResponse::Lease(id)) => {
+                shared.role.lock().lease = Some(OwnLease {
+                    id,
+                    renewed: sent_at,
+                });
+                self.stand(n, id);
+                return;
+            }
+            (RequestPurpose::Renew(id), StoreResponse::Fine) => {
+                shared.role.lock().renewed(*id, sent_at)
+            }
+            (RequestPurpose::Renew(_), StoreResponse::LeaseOver) => self.step_down(n),
+            (RequestPurpose::Write(kind, term), StoreResponse::Outcome(outcome)) => {
+                self.written(n, kind, *term, &outcome);
+            }
+            (RequestPurpose::Write(kind, term), StoreResponse::Failed(error)) => {
+                self.written(n, kind, *term, &Outcome::Failed(error));
+            }
+            (RequestPurpose::Submit(id), StoreResponse::Outcome(Outcome::Committed(_))) => {
+                // The answer reaches the user a little later; by then others may know more.
+                self.told(id, sent, Some(Verdict::Accepted));
+            }
+            (RequestPurpose::Submit(id), StoreResponse::Outcome(Outcome::Conflict { .. })) => {
+                self.poll(id)
+            }
+            (RequestPurpose::Cancel(id), StoreResponse::Outcome(Outcome::Committed(_))) => {
+                let job = JobId::parse(id).unwrap();
+                shared.cancellation_recorded(&job);
+                let jobs = std::mem::take(&mut *shared.cancelled.lock());
+                let refuse = self.peers_refuse;
+                for peer in (0..3).filter(|peer| *peer != n && !refuse) {
+                    self.send(Mail::Cancelled(peer, jobs.clone()));
+                }
+                self.told(id, sent, Some(Verdict::Cancelled));
+            }
+            _ => {}
+        }
+        match why {
+            RequestPurpose::Load | RequestPurpose::Read => self.nodes[n].reading = false,
+            RequestPurpose::Renew(_) => self.nodes[n].renewing = false,
+            RequestPurpose::Grant | RequestPurpose::Elect(_) => {
+                self.nodes[n].electing = false;
+                self.nodes[n].elect_at = self.t + self.rng.random_range(0.15..0.3);
+            }
+            RequestPurpose::Poll(id) if failed.is_none() => {
+                let verdict = shared.replica.lock().verdict(&JobId::parse(&id).unwrap());
+                let verdict = verdict.unwrap().map(|(verdict, _)| verdict);
+                self.told(&id, sent, verdict);
+            }
+            RequestPurpose::CancelRead(id) if failed.is_none() => {
+                self.write_cancellation(n, &id, sent)
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn write_cancellation(&mut self, n: usize, id: &str, sent: f64) {
+        let job = JobId::parse(id).unwrap();
+        let shared = self.nodes[n].shared.clone();
+        let (verdict, version, live) = {
+            let replica = shared.replica.lock();
+            let live = replica.live.get(&job).map(|live| live.record.clone());
+            let verdict = replica.verdict(&job).unwrap().map(|(verdict, _)| verdict);
+            (verdict, replica.job_version(&job), live)
+        };
+        if verdict != Some(Verdict::Accepted) {
+            self.told(id, sent, verdict);
+            return;
+        }
+        let record = JobRecord {
+            verdict: Verdict::Cancelled,
+            tasks: self.jobs[id].spec.tasks,
+            live,
+        };
+        let group = Group {
+            when: vec![Condition::new(keys::job(&job), version)],
+            apply: vec![Change::put(keys::job(&job), to_value(&record))],
+        };
+        self.ask(
+            n,
+            StoreRequest::Multi(group),
+            RequestPurpose::Cancel(id.to_owned()),
+        );
+    }
+
+    /// The election's transaction under a lease just granted.
+    pub(super) fn stand(&mut self, n: usize, lease: u64) {
+        let (term, version) = {
+            let replica = self.nodes[n].shared.replica.lock();
+            (Term(replica.term.record.0 + 1), replica.term.version)
+        };
+        let record = LeaderRecord {
+            member: self.nodes[n].name.clone(),
+            address: String::new(),
+            term,
+            lease,
+        };
+        let group = Group {
+            when: vec![
+                Condition::new(keys::LEADER, 0),
+                Condition::new(keys::TERM, version),
+            ],
+            apply: vec![
+                Change::Put {
+                    key: keys::LEADER.to_owned(),
+                    value: to_value(&record),
+                    lease: Some(lease),
+                },
+                Change::put(keys::TERM, to_value(&TermRecord { term })),
+            ],
+        };
+        self.ask(n, StoreRequest::Multi(group), RequestPurpose::Elect(lease));
+    }
+
+    pub(super) fn step_down(&mut self, n: usize) {
+        let shared = &self.nodes[n].shared;
+        let mut role = shared.role.lock();
+        role.lease = None;
+        role.drop_lead();
+        *shared.cluster.lock() = None;
+    }
+
+    pub(super) fn leave_lease(&mut self, n: usize) {
+        let lease = self.nodes[n].shared.role.lock().lease.map(|lease| lease.id);
+        self.step_down(n);
+        if let Some(lease) = lease {
+            self.ask(n, StoreRequest::End(lease), RequestPurpose::End);
+        }
+    }
+
+    pub(super) fn elect(&mut self, n: usize) {
+        let shared = self.nodes[n].shared.clone();
+        let now = self.instant();
+        let leader = shared.replica.lock().leader.clone();
+        let Some(leader) = leader else {
+            let stands_back = shared.role.lock().stands_back(now);
+            if !self.nodes[n].electing && self.t >= self.nodes[n].elect_at && !stands_back {
+                self.leave_lease(n);
+                self.nodes[n].electing = true;
+                self.ask(n, StoreRequest::Grant, RequestPurpose::Grant);
+            }
+            return;
+        };
+        if shared.role.lock().record_is_ours(&leader.record) {
+            if shared.role.lock().own_term().is_none() {
+                self.take_over(n, leader.record.term, leader.version);
+            }
+            if shared.role.lock().reads_nothing(now) {
+                shared.role.lock().stand_back(now);
+                self.leave_lease(n);
+                return;
+            }
+            let lease = shared.role.lock().lease.unwrap();
+            if !self.nodes[n].renewing && now >= lease.renewed + renew_every(LEASE_TIME_MIN) {
+                self.nodes[n].renewing = true;
+                self.ask(
+                    n,
+                    StoreRequest::Renew(lease.id),
+                    RequestPurpose::Renew(lease.id),
+                );
+            }
+            return;
+        }
+        if shared.role.lock().lease.is_some() && !self.nodes[n].electing {
+            self.leave_lease(n);
+        }
+        let former = leader.record.member == self.nodes[n].name;
+        if former && !self.nodes[n].electing && self.t >= self.nodes[n].elect_at {
+            self.nodes[n].elect_at = self.t + 0.2;
+            self.ask(
+                n,
+                StoreRequest::End(leader.record.lease),
+                RequestPurpose::End,
+            );
+        }
+    }
+
+    pub(super) fn take_over(&mut self, n: usize, term: Term, version: u64) {
+        self.take_overs += 1;
+        let shared = self.nodes[n].shared.clone();
+        let catalog = shared.catalog.lock().clone().unwrap();
+        let cluster = Cluster::take_over(
+            term,
+            &shared.settings,
+            &shared.replica.lock(),
+            catalog,
+            self.instant(),
+            self.wall(),
+        );
+        *shared.cluster.lock() = Some(cluster);
+        shared.role.lock().take(Lead { term, version });
+        // Copies that were kept for the next leader come to every node now.
+        for report in std::mem::take(&mut self.kept) {
+            for node in 0..3 {
+                self.kept_delivered += 1;
+                let after = self.rng.random_range(0.0..3.0);
+                let report = Box::new(report.clone());
+                self.post(after, Mail::Report(node, report, None));
+            }
+        }
+    }
+
+    pub(super) fn written(&mut self, n: usize, kind: &RecordKind, term: Term, outcome: &Outcome) {
+        if !outcome.committed() {
+            self.nodes[n].rest_until = self.t + 0.4;
+        }
+        let shared = self.nodes[n].shared.clone();
+        let mut guard = shared.cluster.lock();
+        if let Some(cluster) = guard.as_mut().filter(|c| c.term == term) {
+            cluster.written(kind, outcome);
+        }
+    }
+
+    pub(super) fn round(&mut self, n: usize) {
+        let now = self.instant();
+        let shared = self.nodes[n].shared.clone();
+        let Some(lead) = shared.role.lock().leading(now) else {
+            return;
+        };
+        let starting = shared.role.lock().starting(now).is_some();
+        let due = self.nodes[n].round_due.replace((lead.term, self.t + 1.0));
+        let direct = {
+            let mut guard = shared.cluster.lock();
+            let Some(cluster) = guard.as_mut().filter(|c| c.term == lead.term) else {
+                return;
+            };
+            if let Some((_, due)) = due.filter(|(term, _)| *term == lead.term) {
+                if self.t - due > 1.5 {
+                    cluster.resume(Duration::from_secs_f64(self.t - due), now);
+                }
+            }
+            cluster.expire(now);
+            let decisions = if starting {
+                sched::round(cluster, &self.policy, now)
+            } else {
+                Decisions::default()
+            };
+            sched::apply(cluster, &decisions, now);
+            cluster.dirty = false;
+            if starting {
+                self.nodes[n].short = decisions.short;
+            }
+            cluster.direct_orders(now)
+        };
+        if self.t >= self.nodes[n].rest_until {
+            let writes = {
+                let replica = shared.replica.lock();
+                let mut guard = shared.cluster.lock();
+                guard.as_mut().unwrap().due_writes(&replica, now)
+            };
+            for mut write in writes {
+                let condition = Condition::new(keys::LEADER, lead.version);
+                write.group.when.push(condition);
+                let why = RequestPurpose::Write(write.kind, lead.term);
+                self.ask(n, StoreRequest::Multi(write.group), why);
+            }
+        }
+        for Direct { machine, body, .. } in direct {
+            let life = self.nodes[n].life;
+            let machine = machine.0.to_string();
+            let mail = Mail::Direct(n, life, machine, body.token, body.session, body.orders, now);
+            if !self.cut_from_workers(n) {
+                self.send(mail);
+            }
+        }
+    }
+
+    pub(super) fn cut_from_workers(&self, n: usize) -> bool {
+        self.cut
+            .is_some_and(|(node, until)| node == n && self.t < until)
+    }
+
+    pub(super) fn fleet(&mut self, n: usize) {
+        let now = self.instant();
+        let shared = self.nodes[n].shared.clone();
+        if shared.role.lock().leading(now).is_none() {
+            return;
+        }
+        let list = self.list();
+        let life = self.nodes[n].life;
+        let actions = {
+            let mut guard = shared.cluster.lock();
+            let Some(cluster) = guard.as_mut() else {
+                return;
+            };
+            cluster.listed(&list, now);
+            let unheard = cluster.machines.values().any(Machine::expected);
+            if unheard && now.saturating_duration_since(cluster.since) < Duration::from_secs(5) {
+                return;
+            }
+            fleet::see_cuts(cluster, now);
+            let actions = fleet::plan(&FleetView {
+                cluster,
+                policy: &self.policy,
+                short: &self.nodes[n].short,
+                market: &self.nodes[n].market,
+                idle_policy: IdlePolicy::default(),
+                now,
+            });
+            for action in &actions {
+                if let Action::Return(ids, _) = action {
+                    for id in ids {
+                        if let Some(machine) = cluster.machines.get_mut(id) {
+                            machine.returning = true;
+                        }
+                    }
+                }
+            }
+            actions
+        };
+        for action in actions {
+            match action {
+                Action::Rent(offer, count) => self.send(Mail::Rent(n, life, offer, count)),
+                Action::Return(ids, _) => self.send(Mail::Return(n, life, ids)),
+            }
+        }
+    }
+
+    pub(super) fn node(&mut self, n: usize) {
+        if !self.nodes[n].up {
+            if self.t >= self.nodes[n].back_at {
+                let life = self.nodes[n].life + 1;
+                self.nodes[n] = self.fresh_node(n, life);
+            }
+            return;
+        }
+        if self.nodes[n].frozen_until > self.t {
+            return;
+        }
+        for mail in std::mem::take(&mut self.nodes[n].held) {
+            self.deliver(mail);
+        }
+        let now = self.instant();
+        let wants = self.nodes[n].shared.role.lock().wants_proof(now);
+        let due = self.t >= self.nodes[n].read_at || wants;
+        if !self.nodes[n].reading && due {
+            self.nodes[n].reading = true;
+            self.nodes[n].read_at = self.t + self.rng.random_range(0.2..1.2);
+            if self.nodes[n].loaded {
+                let after = self.nodes[n].shared.replica.lock().revision;
+                self.ask(n, StoreRequest::Read(after), RequestPurpose::Read);
+            } else {
+                self.ask(n, StoreRequest::Load, RequestPurpose::Load);
+            }
+        }
+        if self.nodes[n].loaded {
+            self.elect(n);
+        }
+        self.forward(n);
+        if self.t >= self.nodes[n].round_at {
+            self.nodes[n].round_at = self.t + self.rng.random_range(0.15..0.6);
+            self.round(n);
+        }
+        if self.t >= self.nodes[n].fleet_at {
+            self.nodes[n].fleet_at = self.t + 1.0;
+            self.fleet(n);
+        }
+    }
+
+    /// Whether what came for a node is taken now; held while it stands still, lost with its life.
+    pub(super) fn at_node(
+        &mut self,
+        n: usize,
+        life: Option<u64>,
+        again: impl Fn() -> Mail,
+    ) -> bool {
+        let node = &mut self.nodes[n];
+        if !node.up || life.is_some_and(|life| life != node.life) {
+            return false;
+        }
+        if node.frozen_until > self.t {
+            node.held.push(again());
+            return false;
+        }
+        true
+    }
+
+    pub(super) fn leader(&self) -> Option<usize> {
+        let leads = |node: &Node| node.up && node.shared.role.lock().own_term().is_some();
+        let mut leading: Vec<usize> = (0..3).filter(|n| leads(&self.nodes[*n])).collect();
+        leading.sort_by_key(|n| self.nodes[*n].shared.role.lock().own_term());
+        leading.pop()
+    }
+
+    pub(super) fn some_node(&mut self) -> Option<usize> {
+        let up: Vec<usize> = (0..3)
+            .filter(|n| self.nodes[*n].up && self.nodes[*n].frozen_until <= self.t)
+            .collect();
+        (!up.is_empty()).then(|| up[self.rng.random_range(0..up.len())])
+    }
+}
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -1,5 +1,8 @@
 //! Kept traces of reports that followers forward, through the ends of nodes and cuts between them.
 
+// A test that can't go on ends with its reason.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
 mod common;
 #[path = "common/scene.rs"]
 mod scene;
--- a/tests/forwarding_service.rs
+++ b/tests/forwarding_service.rs
@@ -1,6 +1,9 @@
 //! Forwarded reports over real connections: the program as a follower, and as a leader, against
 //! peers that answer as they should, as older versions do, with rubbish, or not at all.
 
+// A test that can't go on ends with its reason.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
 mod common;
 #[path = "common/node.rs"]
 mod node;
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -1,6 +1,9 @@
 //! Meetings of troubles, played by three controllers against a model of everything around them, in
 //! orders drawn from fixed seeds; the protocol's rules are checked after every step.
 
+// A test that can't go on ends with its reason.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
 mod common;
 #[path = "common/scene.rs"]
 mod scene;
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -1,6 +1,9 @@
 //! Meetings of troubles, at the border where a report is answered: what leaves, and what does not,
 //! by what this process knows at that moment.
 
+// A test that can't go on ends with its reason.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
 mod common;
 #[path = "common/scene.rs"]
 mod scene;
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -1,5 +1,8 @@
 //! The real program against stand-ins on loopback.
 
+// A test that can't go on ends with its reason.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
 mod common;
 #[path = "common/node.rs"]
 mod node;
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1,6 +1,9 @@
 //! Kept traces of the core: what is told to whom and why, under a clock the test moves.
 //! Read them in `tests/snapshots/`; a change of behaviour shows there as a changed line.
 
+// A test that can't go on ends with its reason.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
 mod common;
 #[path = "common/scene.rs"]
 mod scene;
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -1,6 +1,9 @@
 //! Kept traces of troubles: silence, deafness, late copies, new lives, changes of leader, and
 //! what must begin in bounded time.
 
+// A test that can't go on ends with its reason.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
 mod common;
 #[path = "common/scene.rs"]
 mod scene;
