--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -274,7 +274,7 @@
                 if fewer {
                     self.market.exhausted(&offer, now);
                 }
-                self.shared.metrics.lock().rented += names.len() as u64;
+                self.shared.metrics.lock().counts.rented += names.len() as u64;
                 if let Some(cluster) = self.shared.cluster.lock().as_mut() {
                     cluster.hired(&names, &offer, now);
                 }
@@ -311,7 +311,7 @@
         match self.cloud.give_back(&ids).await {
             Ok(()) => {
                 info!(machines = ?ids, why, "returned");
-                self.shared.metrics.lock().returned += ids.len() as u64;
+                self.shared.metrics.lock().counts.returned += ids.len() as u64;
                 self.shared.machine_gone(&ids);
             }
             Err(CloudError::Unknown) => self.unreturned.push((ids, why)),
--- a/src/actors/leader.rs
+++ b/src/actors/leader.rs
@@ -243,7 +243,7 @@
             });
         }
         drop(replica);
-        self.shared.metrics.lock().terms += 1;
+        self.shared.metrics.lock().counts.terms += 1;
         self.store.do_send(SetLeading(true));
         // Starts wait for a read that is newer than the election.
         self.shared.wake_reader.notify_one();
--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -162,8 +162,8 @@
                     "round"
                 );
                 let mut metrics = self.shared.metrics.lock();
-                metrics.starts += starts as u64;
-                metrics.stops += stops as u64;
+                metrics.counts.starts += starts as u64;
+                metrics.counts.stops += stops as u64;
             }
             if starting {
                 *self.shortages.lock() = decisions.short;
@@ -182,8 +182,8 @@
         }
         let mut metrics = self.shared.metrics.lock();
         metrics.add_round(now.elapsed());
-        metrics.direct_commands += commands;
-        metrics.records_written += records;
+        metrics.counts.direct_commands += commands;
+        metrics.counts.records_written += records;
         if let Some(settled) = settled {
             metrics.take_overs.add(settled);
         }
--- a/src/api/users.rs
+++ b/src/api/users.rs
@@ -170,9 +170,9 @@
     let mut metrics = shared.metrics.lock();
     metrics.submissions.add(began.elapsed());
     match answer.status() {
-        StatusCode::CREATED => metrics.accepted += 1,
+        StatusCode::CREATED => metrics.counts.accepted += 1,
         status if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS => {
-            metrics.refused += 1;
+            metrics.counts.refused += 1;
         }
         _ => {}
     }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -71,7 +71,7 @@
 }
 
 /// How complete this process's replica is. The only owner of that fact: whatever was confirmed to
-/// anybody before [`Freshness::complete_at`] is in the replica, and in the cluster state made from it.
+/// anybody before the newest read that was answered is in the replica, and in the cluster state made from it.
 ///
 /// Renewals of the lease prove nothing of the replica. A state service that refuses this node
 /// alone, and then everybody, gives every lease its full time again: an old leader then finds
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -123,20 +123,9 @@
     pub bytes: u64,
 }
 
-/// All figures of this process.
-#[derive(Debug)]
-pub struct Metrics {
-    started: Instant,
-    /// Time a round took.
-    pub rounds: Times,
-    /// Time that all rounds took together.
-    pub rounds_total: Duration,
-    /// Time from submission to a job's first running task.
-    pub waits: Times,
-    /// Time this node took to answer a submission.
-    pub submissions: Times,
-    /// Time from a take-over until all machines were settled.
-    pub take_overs: Times,
+/// Counts of single things since the process started.
+#[derive(Debug, Default, Clone, PartialEq, Serialize)]
+pub struct Counts {
     /// Submissions accepted here.
     pub accepted: u64,
     /// Submissions refused for the time being.
@@ -157,6 +146,24 @@
     pub records_written: u64,
     /// Changes that the watch of the state service brought.
     pub replica_events: u64,
+}
+
+/// All figures of this process.
+#[derive(Debug)]
+pub struct Metrics {
+    started: Instant,
+    /// Time a round took.
+    pub rounds: Times,
+    /// Time that all rounds took together.
+    pub rounds_total: Duration,
+    /// Time from submission to a job's first running task.
+    pub waits: Times,
+    /// Time this node took to answer a submission.
+    pub submissions: Times,
+    /// Time from a take-over until all machines were settled.
+    pub take_overs: Times,
+    /// Counts of single things.
+    pub counts: Counts,
     /// Reports of workers.
     pub reports: ReportMetrics,
     /// Requests of users.
@@ -174,16 +181,7 @@
             waits: Times::default(),
             submissions: Times::default(),
             take_overs: Times::default(),
-            accepted: 0,
-            refused: 0,
-            terms: 0,
-            starts: 0,
-            stops: 0,
-            rented: 0,
-            returned: 0,
-            direct_commands: 0,
-            records_written: 0,
-            replica_events: 0,
+            counts: Counts::default(),
             reports: ReportMetrics::default(),
             requests: RequestMetrics::default(),
             digests: DigestMetrics::default(),
@@ -204,18 +202,9 @@
             round_time: self.rounds.summary(),
             waiting: self.waits.summary(),
             submission: self.submissions.summary(),
-            accepted: self.accepted,
-            refused: self.refused,
-            terms: self.terms,
-            starts: self.starts,
-            stops: self.stops,
-            rented: self.rented,
-            returned: self.returned,
             rounds_part: self.rounds_part(now),
             take_over: self.take_overs.summary(),
-            direct_commands: self.direct_commands,
-            records_written: self.records_written,
-            replica_events: self.replica_events,
+            counts: self.counts.clone(),
             reports: self.reports.clone(),
             requests: self.requests.clone(),
             digests: self.digests.clone(),
@@ -244,30 +233,13 @@
     pub waiting: Summary,
     /// Time this node took to answer a submission.
     pub submission: Summary,
-    /// Submissions accepted here.
-    pub accepted: u64,
-    /// Submissions refused for the time being.
-    pub refused: u64,
-    /// Terms led by this process.
-    pub terms: u64,
-    /// Starts sent out by rounds.
-    pub starts: u64,
-    /// Tasks stopped by rounds.
-    pub stops: u64,
-    /// Machines rented.
-    pub rented: u64,
-    /// Machines returned.
-    pub returned: u64,
     /// Part of the time since the start of the process that rounds took.
     pub rounds_part: f64,
     /// Time from a take-over until all machines were settled.
     pub take_over: Summary,
-    /// Direct commands sent to workers.
-    pub direct_commands: u64,
-    /// Records written.
-    pub records_written: u64,
-    /// Changes that the watch brought.
-    pub replica_events: u64,
+    /// Counts of single things.
+    #[serde(flatten)]
+    pub counts: Counts,
     /// Reports of workers.
     pub reports: ReportMetrics,
     /// Requests of users.
--- a/src/peer/reports.rs
+++ b/src/peer/reports.rs
@@ -97,64 +97,59 @@
 
 /// A command between nodes. [`Order`] itself is tagged by a field, which `bincode` cannot read.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum ForwardedOrder {
-    /// Start.
-    Run {
-        /// The task.
-        task: String,
-        /// The attempt.
-        attempt: u64,
-    },
-    /// Stop.
+pub struct ForwardedOrder {
+    /// What to do.
+    pub verb: ForwardedVerb,
+    /// The task.
+    pub task: String,
+    /// The attempt.
+    pub attempt: u64,
+}
+
+/// What a [`ForwardedOrder`] wants.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum ForwardedVerb {
+    /// Start the task.
+    Run,
+    /// Stop it.
     Kill {
-        /// The task.
-        task: String,
-        /// The attempt.
-        attempt: u64,
         /// Time to save.
         grace_s: f64,
     },
-    /// Forget an exited task.
-    Clear {
-        /// The task.
-        task: String,
-        /// The attempt.
-        attempt: u64,
-    },
+    /// Forget it.
+    Clear,
 }
 
 impl From<Order> for ForwardedOrder {
     fn from(order: Order) -> Self {
-        match order {
-            Order::Run { task, attempt } => Self::Run { task, attempt },
+        let (verb, task, attempt) = match order {
+            Order::Run { task, attempt } => (ForwardedVerb::Run, task, attempt),
             Order::Kill {
                 task,
                 attempt,
                 grace_s,
-            } => Self::Kill {
-                task,
-                attempt,
-                grace_s,
-            },
-            Order::Clear { task, attempt } => Self::Clear { task, attempt },
+            } => (ForwardedVerb::Kill { grace_s }, task, attempt),
+            Order::Clear { task, attempt } => (ForwardedVerb::Clear, task, attempt),
+        };
+        Self {
+            verb,
+            task,
+            attempt,
         }
     }
 }
 
 impl From<ForwardedOrder> for Order {
     fn from(order: ForwardedOrder) -> Self {
-        match order {
-            ForwardedOrder::Run { task, attempt } => Self::Run { task, attempt },
-            ForwardedOrder::Kill {
-                task,
-                attempt,
-                grace_s,
-            } => Self::Kill {
+        let (task, attempt) = (order.task, order.attempt);
+        match order.verb {
+            ForwardedVerb::Run => Self::Run { task, attempt },
+            ForwardedVerb::Kill { grace_s } => Self::Kill {
                 task,
                 attempt,
                 grace_s,
             },
-            ForwardedOrder::Clear { task, attempt } => Self::Clear { task, attempt },
+            ForwardedVerb::Clear => Self::Clear { task, attempt },
         }
     }
 }
--- a/src/store/reads.rs
+++ b/src/store/reads.rs
@@ -262,7 +262,7 @@
         let changes = replica.apply(&got.events, got.revision);
         (changes, replica.revision)
     };
-    inner.shared.metrics.lock().replica_events += got.events.len() as u64;
+    inner.shared.metrics.lock().counts.replica_events += got.events.len() as u64;
     inner.shared.revision.send_replace(revision);
     inner.shared.tell(&changes);
     inner.shared.replica_complete(sent);
--- a/tests/forwarding_service.rs
+++ b/tests/forwarding_service.rs
@@ -18,8 +18,8 @@
 use ciborium::{cbor, Value};
 use knotlanding::model::{Term, Token};
 use knotlanding::peer::reports::{
-    unix_ms, BatchAnswer, ForwardedAnswer, ForwardedOrder, ForwardedReport, ReportBatch,
-    BATCH_VERSION, REPORTS,
+    unix_ms, BatchAnswer, ForwardedAnswer, ForwardedOrder, ForwardedReport, ForwardedVerb,
+    ReportBatch, BATCH_VERSION, REPORTS,
 };
 use knotlanding::peer::{decode, encode as encode_for_peer};
 use knotlanding::wire::Report;
@@ -84,7 +84,8 @@
     let batch: ReportBatch = decode(&body).unwrap();
     let accepted = ForwardedAnswer::Accepted {
         token: Token::first(batch.term).0,
-        orders: vec![ForwardedOrder::Run {
+        orders: vec![ForwardedOrder {
+            verb: ForwardedVerb::Run,
             task: "wk-000001/0".to_owned(),
             attempt: 9,
         }],
