--- a/tests/common/scene.rs
+++ b/tests/common/scene.rs
@@ -498,3 +498,10 @@
 pub const RUNNING: TaskPhase = TaskPhase::Running;
 pub const GATHERING: TaskPhase = TaskPhase::Gathering;
 pub const EXITED: TaskPhase = TaskPhase::Exited;
+
+/// A machine whose reports arrive, in the words of the report that shows only the first token.
+pub fn deaf_report(s: &mut Scene, machine: &str, tasks: &[(&str, u64, TaskPhase, Option<Cause>)]) {
+    s.seq += 1;
+    let seq = s.seq;
+    s.report_as(machine, (1, seq, 1), tasks, true);
+}
