--- a/docs/days/make_days.py
+++ b/docs/days/make_days.py
@@ -2,6 +2,7 @@
 """Writes days in which troubles meet, for the users' bench.
 
     make_days.py OUT gap            the gap day and its variants
+    make_days.py OUT lean           ends of controllers, cuts and bursts on small machines
     make_days.py OUT meet N [SEED]  N days with two or three drawn troubles that overlap
 
 Each file is a day as the bench takes it (`fleetbench run SITE FILE --seed N`). The drawn ones
@@ -75,6 +76,37 @@
     yield "gap-called-off", gap("gap-called-off", 2.0, 63.0, more=called)
 
 
+def lean_days():
+    """Days on which workers change nodes, or ask more than usual, for sites of little processor."""
+
+    def lean(name, *faults):
+        return name, day(name, 11, 300.0, faults)
+
+    yield lean("lean-roll", fault(80.0, "node_roll", every_s=12.0),
+               fault(200.0, "node_roll", every_s=8.0))
+    yield lean("lean-two-end", *[fault(at, "node_crash", count=2, busiest=True)
+                                 for at in (80.0, 130.0, 180.0)])
+    yield lean("lean-all-end", fault(90.0, "node_crash", count=9, busiest=True),
+               fault(170.0, "node_crash", count=9, busiest=True))
+    # A class of each site.
+    for job_class in ("fraudscore", "loadcast"):
+        yield lean("lean-burst-" + job_class,
+                   fault(80.0, "poll_storm", factor=8.0, for_s=120.0),
+                   fault(90.0, "job_burst", **{"class": job_class}, factor=3.0, for_s=60.0),
+                   fault(120.0, "node_crash", count=1, busiest=True))
+    yield lean("lean-leader-without-workers",
+               fault(80.0, "node_cut", count=1, busiest=True, from_workers=True, mode="hold",
+                     for_s=90.0))
+    yield lean("lean-peers-refuse", fault(80.0, "peers_refuse", for_s=120.0),
+               fault(100.0, "node_crash", count=1, busiest=True),
+               fault(150.0, "node_crash", count=1, busiest=True))
+    yield lean("lean-nodes-cut-from-each-other",
+               fault(80.0, "node_cut", count=2, busiest=False, from_peers=True, mode="hold",
+                     for_s=60.0),
+               fault(160.0, "node_cut", count=1, busiest=True, from_peers=True, mode="reset",
+                     for_s=60.0))
+
+
 def troubles(rng, at):
     """Troubles to draw from, each beginning about then."""
     t = at + rng.uniform(0.0, 6.0)
@@ -125,6 +157,8 @@
     out.mkdir(parents=True, exist_ok=True)
     if what == "gap":
         made = gap_days()
+    elif what == "lean":
+        made = lean_days()
     else:
         seed = int(sys.argv[4]) if len(sys.argv) > 4 else 1
         made = (meeting(number, seed) for number in range(int(sys.argv[3])))
