No fixed limit below 4,000 machines; sizes and work counted by tests

Need: the service also runs at some 4,000 machines.

It is read over several looks and counts when whole; at most half of the requests go there. - A digest of everything with 20,000 jobs and large caches exceeded the 2 MiB that peers take, and within it was not decoded, since bincode counts items by their size in memory. It is shortened to fit, counts of jobs and oldest images first; the decoding limit is eight times the body's. - A watch answered with more than 16 MiB failed every time and the node read nothing any more; decoded it would not have fitted the memory. The limit follows the memory, and beyond it keys are read page by page. - Queue of forwarded reports, backlog, machines asked at a take-over, drained machines, machines remembered as gone: derived from settings or sized for three times 4,000; admin shows answers above 2 MiB.

Also: tests' addresses have loopback numbers of their own. Cause of flaky runs: 'Address already in use', a port was taken by another test's connection before the program came to use it (seen in 3 of 8 runs of tests/service.rs).

--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -8,7 +8,9 @@
 
 use super::round::Shortages;
 use crate::cluster::{Catalog, Machine};
+use crate::config::secs;
 use crate::fleet::client::{CloudClient, CloudError};
+use crate::fleet::listing::MachineListing;
 use crate::fleet::{self, Action, FleetView, Market, Offer, RENTAL_SIZE_MAX};
 use crate::model::{MachineId, Term};
 use crate::service::Shared;
@@ -71,7 +73,7 @@
             unreturned: Vec::new(),
             term: Term(0),
             catalog_at: None,
-            listed_at: None,
+            listing: MachineListing::default(),
             calls: Bucket::new(rps * RATE_PART, Instant::now()),
         };
         actix::spawn(fleet.run());
@@ -91,7 +93,7 @@
     unreturned: Vec<(Vec<MachineId>, &'static str)>,
     term: Term,
     catalog_at: Option<Instant>,
-    listed_at: Option<Instant>,
+    listing: MachineListing,
     calls: Bucket,
 }
 
@@ -139,12 +141,9 @@
             self.term = lead.term;
             self.unanswered.clear();
             self.unreturned.clear();
-            self.listed_at = None;
-        }
-        let list_every = crate::config::secs(self.shared.settings.params.cloud.list_lag_s);
-        if Self::due(self.listed_at, list_every) {
-            self.read_list().await;
+            self.listing.reset();
         }
+        self.read_list().await;
         for (hire, offer) in std::mem::take(&mut self.unanswered) {
             self.hire(hire, offer).await;
         }
@@ -204,17 +203,33 @@
         }
     }
 
+    /// Reads as much of the machine list as the limit allows without waiting, one page at least.
     async fn read_list(&mut self) {
-        self.wait_for_limit().await;
-        match self.cloud.list().await {
-            Ok(list) => {
-                let now = Instant::now();
-                self.listed_at = Some(now);
-                if let Some(cluster) = self.shared.cluster.lock().as_mut() {
-                    cluster.listed(&list, now);
+        let cloud = &self.shared.settings.params.cloud;
+        let (interval, rate) = (secs(cloud.list_lag_s), cloud.rps * RATE_PART);
+        let mut first = true;
+        while self.listing.due(interval, rate, Instant::now()) {
+            let free = self.calls.wait(1.0, Instant::now()).is_zero();
+            if !first && !free {
+                return;
+            }
+            first = false;
+            self.wait_for_limit().await;
+            let page = match self.cloud.list_page(self.listing.after()).await {
+                Ok(page) => page,
+                Err(error) => {
+                    debug!(%error, "cannot read the machine list");
+                    self.listing.abandon();
+                    return;
                 }
+            };
+            let now = Instant::now();
+            let Some(list) = self.listing.take_page(page, now) else {
+                continue;
+            };
+            if let Some(cluster) = self.shared.cluster.lock().as_mut() {
+                cluster.listed(&list, now);
             }
-            Err(error) => debug!(%error, "cannot read the machine list"),
         }
     }
 
--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -14,7 +14,9 @@
 use awc::Client;
 
 use crate::model::Term;
-use crate::peer::digest::{Digest, DigestRecipient, DigestReply, DIGEST};
+use crate::peer::digest::{
+    Digest, DigestContents, DigestRecipient, DigestReply, DIGEST, DIGEST_LIMIT,
+};
 use crate::peer::{self, cancelled, contact};
 use crate::service::contact::{PeerContactAnswer, PeerContacts};
 use crate::service::misdirected::MANY_MISDIRECTED;
@@ -158,7 +160,8 @@
             (cluster.news(), anyone_lacks.then(|| cluster.all_news()))
         };
         self.number += 1;
-        let digest = |news, full| {
+        let digest = |mut news: DigestContents, full| {
+            news.shorten(DIGEST_LIMIT);
             peer::encode(&Digest {
                 term: lead.term,
                 member: self.shared.settings.member.clone(),
--- a/src/api/admin.rs
+++ b/src/api/admin.rs
@@ -252,7 +252,8 @@
     store: &Addr<StoreActor>,
     wanted: VersionedSettings,
 ) -> HttpResponse {
-    if let Some(field) = wanted.settings.wrong_field() {
+    let value_kb = shared.settings.params.state.value_kb;
+    if let Some(field) = wanted.settings.wrong_field(value_kb) {
         let error = format!("field `{field}` is out of range");
         return refuse(HttpResponse::BadRequest(), error);
     }
--- a/src/cluster/commands.rs
+++ b/src/cluster/commands.rs
@@ -13,8 +13,10 @@
 const REPEAT_STOP: Duration = Duration::from_secs(2);
 /// A machine that was asked for its report is not asked again sooner.
 const ASK_AGAIN: Duration = Duration::from_secs(3);
-/// Machines asked in one round: each costs about as much as a report.
-const QUESTIONS_PER_ROUND: usize = 40;
+/// Machines asked in one round at least: each costs about as much as a report.
+const QUESTIONS_PER_ROUND_MIN: usize = 40;
+/// Rounds in which all machines of an earlier term are asked once, if more are to be asked.
+const ROUNDS_TO_ASK_ALL: usize = 50;
 /// Processor time that a direct command takes with its connection.
 const COMMAND_CPU_S: f64 = 0.0003;
 /// Part of the processor for those that can wait: the machines report by themselves in a moment.
@@ -63,7 +65,9 @@
     /// itself never goes this way.
     pub fn direct_orders(&mut self, now: Instant) -> Vec<Direct> {
         let mut left = self.budget.left(now);
-        let mut all = self.questions(now, left.min(QUESTIONS_PER_ROUND));
+        let per_round = self.unsettled.len() / ROUNDS_TO_ASK_ALL;
+        let per_round = per_round.max(QUESTIONS_PER_ROUND_MIN);
+        let mut all = self.questions(now, left.min(per_round));
         let mut can_wait = all.len();
         left = left.saturating_sub(can_wait);
         for machine in self.machines.values_mut() {
--- a/src/cluster/sync.rs
+++ b/src/cluster/sync.rs
@@ -8,13 +8,11 @@
 use super::{Cluster, Durable, Job, Listed, Machine, Sent};
 use crate::config::secs;
 use crate::model::{JobId, MachineId, Verdict};
+use crate::peer::digest::GONE_MACHINES_KEPT;
 use crate::store::keys;
 use crate::store::replica::Replica;
 use crate::wire::ListedMachine;
 
-/// Returned machines remembered. Their late reports come within minutes, not days.
-const DEPARTED_KEPT: usize = 4096;
-
 impl Cluster {
     /// Takes what the records now say of a job.
     pub fn sync_job(
@@ -135,7 +133,7 @@
         self.roster.remove(id);
         // Reports of it may still be on their way; they must not bring it back.
         self.departed.insert(id.clone());
-        if self.departed.len() > DEPARTED_KEPT {
+        if self.departed.len() > GONE_MACHINES_KEPT {
             self.departed.pop_first();
         }
         self.dirty = true;
--- a/src/fleet/client.rs
+++ b/src/fleet/client.rs
@@ -9,13 +9,13 @@
 
 use crate::http::{OutgoingRequest, Remote};
 use crate::model::{Build, MachineId};
-use crate::wire::{self, Flavors, HireBody, ListedMachine, MachineNames, MachinePage};
+use crate::wire::{self, Flavors, HireBody, MachineNames, MachinePage};
 
 /// The cloud answers in a fraction of a second; beyond this it is taken not to.
 const ANSWER_LIMIT: Duration = Duration::from_secs(3);
 /// Machines a page of the list.
 const PAGE: usize = 500;
-/// Largest body taken.
+/// Largest body taken: a page of the list, whose machines take some 200 bytes each.
 const LARGEST: usize = 1024 * 1024;
 
 /// Why a request to the cloud brought nothing.
@@ -62,7 +62,7 @@
             limit: ANSWER_LIMIT,
         };
         let answer = self.remote.send(ask).await;
-        let (status, body) = answer.ok_or(CloudError::Unknown)?;
+        let (status, body) = answer.map_err(|_| CloudError::Unknown)?;
         match status {
             200 => Ok(body),
             503 if says_no_capacity(&body) => Err(CloudError::NoCapacity),
@@ -97,22 +97,14 @@
             .map(|_| ())
     }
 
-    /// The whole list.
-    pub async fn list(&self) -> Result<Vec<ListedMachine>, CloudError> {
-        let mut all: Vec<ListedMachine> = Vec::new();
-        loop {
-            let path = match all.last() {
-                Some(last) => format!("/machines?after={}&limit={PAGE}", last.id),
-                None => format!("/machines?limit={PAGE}"),
-            };
-            let body = self.call(Method::GET, &path, None).await?;
-            let page: MachinePage = Self::read(&body)?;
-            let got = page.machines.len();
-            all.extend(page.machines);
-            if !page.more || got == 0 {
-                return Ok(all);
-            }
-        }
+    /// A page of the list, which begins after a machine's name.
+    pub async fn list_page(&self, after: Option<&str>) -> Result<MachinePage, CloudError> {
+        let path = match after {
+            Some(after) => format!("/machines?after={after}&limit={PAGE}"),
+            None => format!("/machines?limit={PAGE}"),
+        };
+        let body = self.call(Method::GET, &path, None).await?;
+        Self::read(&body)
     }
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 mod idle;
+pub mod listing;
 mod lost;
 mod planner;
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -3,11 +3,24 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use awc::error::PayloadError;
 use awc::http::Method;
 use awc::Client;
+use thiserror::Error;
 
 use crate::wire;
 
+/// Why a request brought no answer that can be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum RequestFailure {
+    /// There was no whole answer in time.
+    #[error("no answer")]
+    NoAnswer,
+    /// The answer is larger than this process takes.
+    #[error("the answer is too large")]
+    AnswerTooLarge,
+}
+
 /// A server with its pooled connections.
 #[derive(Clone)]
 pub struct Remote {
@@ -38,8 +51,11 @@
         }
     }
 
-    /// Sends a request; `None` if there was no whole answer in time, whatever became of the request.
-    pub async fn send(&self, outgoing: OutgoingRequest<'_>) -> Option<(u16, Vec<u8>)> {
+    /// Sends a request. A failure says nothing of whether the request was carried out.
+    pub async fn send(
+        &self,
+        outgoing: OutgoingRequest<'_>,
+    ) -> Result<(u16, Vec<u8>), RequestFailure> {
         let request = self
             .http
             .request(outgoing.method, format!("{}{}", self.base, outgoing.path))
@@ -48,9 +64,12 @@
             Some(body) => request.content_type(wire::CBOR).send_body(body),
             None => request.send(),
         };
-        let mut answer = sent.await.ok()?;
+        let mut answer = sent.await.map_err(|_| RequestFailure::NoAnswer)?;
         let status = answer.status().as_u16();
-        let body = answer.body().limit(self.largest).await.ok()?;
-        Some((status, body.to_vec()))
+        match answer.body().limit(self.largest).await {
+            Ok(body) => Ok((status, body.to_vec())),
+            Err(PayloadError::Overflow) => Err(RequestFailure::AnswerTooLarge),
+            Err(_) => Err(RequestFailure::NoAnswer),
+        }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,8 @@
 const FAILURE: u8 = 1;
 /// A controller that takes longer to answer an operator is taken not to.
 const ADMIN_LIMIT: Duration = Duration::from_secs(10);
+/// Largest answer shown: the status of 4,000 machines and 20,000 jobs has some 6 MB.
+const ADMIN_ANSWER_MAX: usize = 64 * 1024 * 1024;
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
@@ -93,7 +95,7 @@
             Err(error) => return fail(FAILURE, &format!("{node} does not answer: {error}")),
         };
         let status = answer.status();
-        let body = match answer.body().await {
+        let body = match answer.body().limit(ADMIN_ANSWER_MAX).await {
             Ok(body) => String::from_utf8_lossy(&body).into_owned(),
             Err(error) => return fail(FAILURE, &format!("{node} broke off: {error}")),
         };
--- a/src/peer/digest.rs
+++ b/src/peer/digest.rs
@@ -13,8 +13,17 @@
 
 /// Path of the digest.
 pub const DIGEST: &str = "/peer/digest";
-/// Largest digest taken: several thousand machines with ten images each, and their jobs.
+/// Largest digest taken. Senders leave out what does not fit, see [`DigestContents::shorten`]; the
+/// limit is the same in all versions since 0.3.0.
 pub const DIGEST_LIMIT: usize = 2 * 1024 * 1024;
+/// Bytes left for the head of a digest.
+const DIGEST_HEAD_BYTES: usize = 1024;
+/// Most bytes that `bincode` takes for a number or the length of a text.
+const NUMBER_BYTES: usize = 9;
+/// Longest text whose length `bincode` puts into one byte.
+const SHORT_TEXT: usize = 250;
+/// Part of a digest's limit that jobs may take, the rest is the machines'.
+const DIGEST_JOBS_PART: f64 = 0.4;
 
 /// What a leader tells the others once a second. All of it is for display or a hint, and
 /// nothing that must be right hangs on it.
@@ -45,6 +54,57 @@
     pub gone: Vec<MachineId>,
 }
 
+impl DigestContents {
+    /// Leaves out what would make a digest larger than peers take: counts of jobs first, which are
+    /// only shown, then images of machines, those used longest ago first. Without it a peer would
+    /// refuse the digest of a large fleet whole, again and again.
+    pub fn shorten(&mut self, limit: usize) {
+        let limit = limit.saturating_sub(DIGEST_HEAD_BYTES);
+        let jobs_limit = (limit as f64 * DIGEST_JOBS_PART) as usize;
+        let over = truncate_to(&mut self.over, jobs_limit / 2, |id| text_bytes(id.as_str()));
+        let counts = truncate_to(&mut self.counts, jobs_limit - over, |count| {
+            text_bytes(count.id.as_str()) + 2 * NUMBER_BYTES
+        });
+        let machines_limit = limit - over - counts;
+        let gone_limit = machines_limit / 4;
+        let gone = truncate_to(&mut self.gone, gone_limit, |id| text_bytes(&id.0));
+        let hints_limit = machines_limit - gone;
+        let bare = truncate_to(&mut self.hints, hints_limit, |(id, hint)| {
+            text_bytes(&id.0) + hint.bytes_without_images()
+        });
+        let each = (hints_limit - bare) / self.hints.len().max(1);
+        for (_, hint) in &mut self.hints {
+            hint.keep_latest_images(each);
+        }
+    }
+}
+
+/// Most bytes that `bincode` takes for a text.
+fn text_bytes(text: &str) -> usize {
+    let length = if text.len() <= SHORT_TEXT {
+        1
+    } else {
+        NUMBER_BYTES
+    };
+    length + text.len()
+}
+
+/// Keeps as many items from the front as fit `limit` bytes; the bytes of those kept.
+fn truncate_to<T>(items: &mut Vec<T>, limit: usize, bytes: impl Fn(&T) -> usize) -> usize {
+    let mut kept_bytes = 0;
+    let mut kept = 0;
+    for item in items.iter() {
+        let next = kept_bytes + bytes(item);
+        if next > limit {
+            break;
+        }
+        kept_bytes = next;
+        kept += 1;
+    }
+    items.truncate(kept);
+    kept_bytes
+}
+
 /// Completed and running tasks of a job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Counts {
@@ -67,6 +127,23 @@
     pub images: Vec<(String, f32)>,
 }
 
+impl Hint {
+    fn bytes_without_images(&self) -> usize {
+        text_bytes(&self.address) + 2 * NUMBER_BYTES
+    }
+
+    /// Keeps the most recently used images, as many as fit `limit` bytes.
+    fn keep_latest_images(&mut self, limit: usize) {
+        let mut sum = 0;
+        let fitting = self.images.iter().rev().take_while(|(name, _)| {
+            sum += text_bytes(name) + std::mem::size_of::<f32>();
+            sum <= limit
+        });
+        let count = fitting.count();
+        self.images.drain(..self.images.len() - count);
+    }
+}
+
 /// Time between two digests of everything to the same peer. Everything is large, and a peer that is
 /// as slow to answer as the leader is to hear it would be told it again and again.
 const FULL_DIGEST_INTERVAL: Duration = Duration::from_secs(5);
@@ -103,8 +180,9 @@
     }
 }
 
-/// Machines remembered as gone: late copies of their reports come within minutes.
-const GONE_KEPT: usize = 1024;
+/// Machines remembered as gone: late copies of their reports come within minutes, in which a fleet of
+/// 4,000 may have been replaced more than once. Each takes some 60 bytes.
+pub const GONE_MACHINES_KEPT: usize = 12_288;
 
 /// What a node keeps of the digests.
 #[derive(Debug, Default)]
@@ -144,7 +222,7 @@
             self.hints.remove(&id);
             self.gone.push_back(id);
         }
-        while self.gone.len() > GONE_KEPT {
+        while self.gone.len() > GONE_MACHINES_KEPT {
             self.gone.pop_front();
         }
         true
--- a/src/peer/forwarding.rs
+++ b/src/peer/forwarding.rs
@@ -27,10 +27,30 @@
 pub const BATCH_REPORTS_MAX: usize = 128;
 /// Bytes of the workers' bodies in a batch. The largest single body always fits.
 pub const BATCH_BYTES_MAX: usize = 4 * BODY_LIMIT;
-/// Reports waiting for a batch. Beyond it a worker is told at once to try the next node.
-pub const QUEUED_REPORTS_MAX: usize = 512;
-/// Bytes of the bodies waiting for a batch.
-pub const QUEUED_BYTES_MAX: usize = 16 * BODY_LIMIT;
+/// Part of the memory that the bodies of waiting reports may take.
+const QUEUE_MEMORY_PART: f64 = 1.0 / 64.0;
+/// Least number of bytes that may wait.
+const QUEUED_BYTES_MIN: usize = 16 * BODY_LIMIT;
+
+/// What may wait for a batch at once. Beyond it a worker is told at once to try the next node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueLimits {
+    /// Reports: each worker has one under way, on a public connection of its own.
+    pub reports: usize,
+    /// Bytes of their bodies.
+    pub bytes: usize,
+}
+
+impl QueueLimits {
+    /// For a process with so many public connections and so much memory.
+    pub fn new(public_connections: usize, mem_mb: f64) -> Self {
+        let part = mem_mb * 1024.0 * 1024.0 * QUEUE_MEMORY_PART;
+        Self {
+            reports: public_connections,
+            bytes: (part as usize).max(QUEUED_BYTES_MIN),
+        }
+    }
+}
 
 /// Processor time that a batch costs the leader besides its reports.
 const BATCH_CPU_S: f64 = 0.0002;
@@ -147,8 +167,9 @@
 }
 
 /// Reports on their way to the leader.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Forwarding {
+    limits: QueueLimits,
     queue: VecDeque<QueuedReport>,
     queued_bytes: usize,
     in_flight: usize,
@@ -157,6 +178,17 @@
 }
 
 impl Forwarding {
+    /// An empty queue.
+    pub fn new(limits: QueueLimits) -> Self {
+        Self {
+            limits,
+            queue: VecDeque::new(),
+            queued_bytes: 0,
+            in_flight: 0,
+            failure: None,
+        }
+    }
+
     /// What to do with a report for this leader. After a failure one batch tries the path again;
     /// until it is answered no further report waits for it.
     pub fn route(&self, leader: &KnownLeader, now: Instant) -> Route {
@@ -184,8 +216,8 @@
         body_bytes: usize,
         now: Instant,
     ) -> Result<PendingReport, QueueFull> {
-        let full = self.queue.len() >= QUEUED_REPORTS_MAX
-            || self.queued_bytes + body_bytes > QUEUED_BYTES_MAX;
+        let full = self.queue.len() >= self.limits.reports
+            || self.queued_bytes + body_bytes > self.limits.bytes;
         if full {
             return Err(QueueFull);
         }
--- a/src/peer/forwarding/tests.rs
+++ b/src/peer/forwarding/tests.rs
@@ -32,6 +32,12 @@
     }
 }
 
+/// Of a node with 512 public connections and 136 MB.
+const LIMITS: QueueLimits = QueueLimits {
+    reports: 512,
+    bytes: 17 * 128 * 1024,
+};
+
 struct Follower {
     forwarding: Forwarding,
     start: Instant,
@@ -40,7 +46,7 @@
 impl Follower {
     fn new() -> Self {
         Self {
-            forwarding: Forwarding::default(),
+            forwarding: Forwarding::new(LIMITS),
             start: Instant::now(),
         }
     }
@@ -87,7 +93,7 @@
 #[test]
 fn batches_and_the_queue_are_bounded_and_a_full_queue_says_so() {
     let mut follower = Follower::new();
-    let pending: Vec<PendingReport> = (0..QUEUED_REPORTS_MAX as u64)
+    let pending: Vec<PendingReport> = (0..LIMITS.reports as u64)
         .map(|seq| follower.queue(seq, 0))
         .collect();
     let now = follower.at(0);
@@ -96,7 +102,7 @@
         .enqueue(report(9999, Token(0)), 200, now);
     assert_eq!(one_more.unwrap_err(), QueueFull);
     assert_eq!(follower.batch(3, 0).unwrap().len(), BATCH_REPORTS_MAX);
-    assert_eq!(pending.len(), QUEUED_REPORTS_MAX);
+    assert_eq!(pending.len(), LIMITS.reports);
 
     // The same by bytes, with the largest bodies that workers may send.
     let mut follower = Follower::new();
@@ -108,7 +114,7 @@
         queued.map(|report| pending.push(report)).is_err()
     });
     let taken = refused.unwrap() as usize * BODY_LIMIT;
-    assert!(taken <= QUEUED_BYTES_MAX && taken * 2 > QUEUED_BYTES_MAX);
+    assert!(taken <= LIMITS.bytes && taken * 2 > LIMITS.bytes);
     let batch = follower.forwarding.next_batch(&leader(3), now).unwrap();
     assert!(!batch.is_empty() && batch.len() * BODY_LIMIT <= BATCH_BYTES_MAX);
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -17,8 +17,10 @@
 
 /// Content type between the nodes.
 pub const BINCODE: &str = "application/x-bincode";
-/// Largest message that is decoded: the largest body of any path.
-const MESSAGE_LIMIT: usize = digest::DIGEST_LIMIT;
+/// Most memory that a decoded message may take. `bincode` counts a list by the size of its items in
+/// memory, which is several times that of the message: with the limit of the body itself, a digest of
+/// 4,000 machines arrived whole and could not be decoded.
+const MESSAGE_LIMIT: usize = 8 * digest::DIGEST_LIMIT;
 
 /// Encodes for a peer.
 pub fn encode<T: Serialize>(value: &T) -> Option<Vec<u8>> {
--- a/src/run.rs
+++ b/src/run.rs
@@ -16,7 +16,6 @@
 use crate::actors::round::{RoundActor, Shortages};
 use crate::config::Settings;
 use crate::fleet::client::CloudClient;
-use crate::leader::slowness;
 use crate::service::{OpenConnection, Shared};
 use crate::store::actor::StoreActor;
 use crate::store::client::StoreClient;
@@ -26,8 +25,6 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// A connection that has not come about by then won't.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
-/// Connections accepted but not yet taken up.
-const BACKLOG: u32 = 256;
 
 fn http_client(most: usize) -> Client {
     let connector = Connector::new()
@@ -54,10 +51,9 @@
     // What keeps lead and replica has a thread and a client of its own: on a small machine a round,
     // a digest or a burst of reports takes seconds, and neither is to be lost for slowness.
     let records = actix::Arbiter::new();
-    let (state, slowness) = (external.state, slowness(&shared.settings));
     let (for_store, most) = (shared.clone(), sockets.store);
     let store = StoreActor::start_in_arbiter(&records.handle(), move |_| {
-        let client = StoreClient::new(state, http_client(most), slowness);
+        let client = StoreClient::new(&for_store.settings, http_client(most));
         StoreActor::new(client, for_store)
     });
     let shortages = Shortages::default();
@@ -76,7 +72,7 @@
     })
     .workers(1)
     .max_connections(sockets.public)
-    .backlog(BACKLOG)
+    .backlog(sockets.backlog)
     .keep_alive(sockets.idle)
     .disable_signals()
     .bind(public_addr)?
@@ -100,7 +96,7 @@
 
     let (for_leader, to_commit, most) = (shared.clone(), store.clone(), sockets.election);
     LeaderActor::start_in_arbiter(&records.handle(), move |_| {
-        let client = StoreClient::new(state, http_client(most), slowness);
+        let client = StoreClient::new(&for_leader.settings, http_client(most));
         LeaderActor::new(for_leader, client, to_commit)
     });
     RoundActor::new(shared.clone(), store.clone(), direct, shortages.clone()).start();
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -22,7 +22,7 @@
 use crate::metrics::Metrics;
 use crate::model::{JobId, MachineId};
 use crate::peer::digest::DigestView;
-use crate::peer::forwarding::Forwarding;
+use crate::peer::forwarding::{Forwarding, QueueLimits};
 use crate::sched::Policy;
 use crate::sockets::Sockets;
 use crate::store::from_value;
@@ -145,8 +145,10 @@
 impl Shared {
     /// The state of a process that has just started.
     pub fn new(settings: Settings) -> Arc<Self> {
+        let sockets = Sockets::of(&settings);
+        let queue_limits = QueueLimits::new(sockets.public, settings.params.resources.mem_mb);
         Arc::new(Self {
-            sockets: Sockets::of(&settings),
+            sockets,
             policy: Policy::new(&settings),
             role: Mutex::new(Role::new(&settings)),
             replica: Mutex::new(Replica::keeping(most_verdicts(
@@ -161,7 +163,7 @@
             peer_contact: Mutex::default(),
             operator: Mutex::default(),
             connections: Arc::default(),
-            forwarding: Mutex::default(),
+            forwarding: Mutex::new(Forwarding::new(queue_limits)),
             wake_forwarding: Notify::new(),
             redirects: Mutex::new(Bucket::new(redirect_rate(&settings), Instant::now())),
             misdirected: AtomicU64::default(),
--- a/src/service/operator.rs
+++ b/src/service/operator.rs
@@ -35,12 +35,14 @@
 
 /// Largest factor operators may set: beyond it nothing would ever be returned.
 const FACTOR_MAX: f64 = 100.0;
-/// Most machines drained by name.
-const DRAINED_MACHINES_MAX: usize = 500;
+/// Part of a value in the state service that the names of drained machines may fill.
+const DRAINED_NAMES_PART: f64 = 0.75;
+/// Bytes around each name, in the form by which values are measured.
+const NAME_ENVELOPE_BYTES: usize = 4;
 
 impl OperatorSettings {
-    /// The first field that makes no sense.
-    pub fn wrong_field(&self) -> Option<&'static str> {
+    /// The first field that makes no sense, or that a value of so many KiB can't hold.
+    pub fn wrong_field(&self, value_kb: f64) -> Option<&'static str> {
         let factor_ok = |f: f64| f.is_finite() && (0.0..=FACTOR_MAX).contains(&f);
         if !factor_ok(self.idle_factor) {
             return Some("idle_factor");
@@ -49,7 +51,9 @@
             return Some("spare_factor");
         }
         let names_ok = self.drained.iter().all(|name| !name.is_empty());
-        (self.drained.len() > DRAINED_MACHINES_MAX || !names_ok).then_some("drained")
+        let bytes = self.drained.iter().map(|n| n.len() + NAME_ENVELOPE_BYTES);
+        let fits = bytes.sum::<usize>() as f64 <= value_kb * 1024.0 * DRAINED_NAMES_PART;
+        (!fits || !names_ok).then_some("drained")
     }
 
     /// What of it the fleet needs.
--- a/src/sockets.rs
+++ b/src/sockets.rs
@@ -44,6 +44,13 @@
 /// Users poll every five seconds or so; a connection kept for less would be of no use.
 const IDLE_LEAST: Duration = Duration::from_secs(12);
 
+/// Part of the public connections that may wait to be accepted: workers of a node that ended come to
+/// the next one all at once.
+const BACKLOG_PART: usize = 8;
+/// Bounds on it. The system has a bound of its own, usually the higher one.
+const BACKLOG_MIN: u32 = 256;
+const BACKLOG_MAX: u32 = 4096;
+
 /// The shares of one process.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sockets {
@@ -53,6 +60,8 @@
     pub reports_close: usize,
     /// The same for users.
     pub users_close: usize,
+    /// Public connections that may wait to be accepted.
+    pub backlog: u32,
     /// Connections taken from the other nodes and from operators.
     pub peers_in: usize,
     /// Connections to the cloud and the other nodes.
@@ -85,6 +94,9 @@
             public,
             reports_close: part(REPORTS_CLOSE_PART, public),
             users_close: part(USERS_CLOSE_PART, public),
+            backlog: u32::try_from(public / BACKLOG_PART).map_or(BACKLOG_MAX, |backlog| {
+                backlog.clamp(BACKLOG_MIN, BACKLOG_MAX)
+            }),
             peers_in,
             own,
             store: TO_STORE - TO_ELECTION,
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -1,6 +1,5 @@
 //! The state service's protocol over pooled connections. Lives on one thread.
 
-use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use awc::http::Method;
@@ -9,17 +8,29 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Change, Condition, Follow, Group, Outcome, Page, StoreError};
-use crate::http::{OutgoingRequest, Remote};
+use crate::config::Settings;
+use crate::http::{OutgoingRequest, Remote, RequestFailure};
+use crate::leader::slowness;
 use crate::wire;
 
 /// No answer by then means an unknown outcome. The service answers within a few hundred
 /// milliseconds; a user waits a second before it counts as late.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
-/// Largest body taken from the service; a watch has no limit of its own.
-const LARGEST: usize = 16 * 1024 * 1024;
+/// Part of the memory that the body of one answer may take. Decoded, it takes several times as much,
+/// and a watch's answer has no limit of its own at the service.
+const ANSWER_MEMORY_PART: f64 = 0.05;
+/// Least limit on an answer: a page of keys may have 512 KiB in the form by which it is measured.
+const ANSWER_BYTES_MIN: usize = 1024 * 1024;
 /// Keys a page, so that no page is refused for its size.
 const PAGE: usize = 500;
 
+/// Largest answer of the state service that a process with so much memory takes. A watch that has
+/// more to tell counts as too old, and all keys are read again page by page.
+pub fn answer_bytes_max(mem_mb: f64) -> usize {
+    let part = mem_mb * 1024.0 * 1024.0 * ANSWER_MEMORY_PART;
+    (part as usize).max(ANSWER_BYTES_MIN)
+}
+
 /// The client.
 #[derive(Clone)]
 pub struct StoreClient {
@@ -54,12 +65,13 @@
 }
 
 impl StoreClient {
-    /// A client of the service at `address`, for a process that may take so many times as long as
-    /// usual to take an answer up.
-    pub fn new(address: SocketAddrV4, http: Client, slowness: f64) -> Self {
+    /// A client of the state service in the settings. Its limits follow from the process's memory
+    /// and its share of a processor.
+    pub fn new(settings: &Settings, http: Client) -> Self {
+        let largest = answer_bytes_max(settings.params.resources.mem_mb);
         Self {
-            remote: Remote::new(address, http, LARGEST),
-            answer_limit: ANSWER_LIMIT.mul_f64(slowness),
+            remote: Remote::new(settings.external.state, http, largest),
+            answer_limit: ANSWER_LIMIT.mul_f64(slowness(settings)),
         }
     }
 
@@ -76,7 +88,11 @@
             body,
             limit,
         };
-        self.remote.send(ask).await.ok_or(StoreError::Unknown)
+        let sent = self.remote.send(ask).await;
+        sent.map_err(|failure| match failure {
+            RequestFailure::NoAnswer => StoreError::Unknown,
+            RequestFailure::AnswerTooLarge => StoreError::AnswerTooLarge,
+        })
     }
 
     fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
@@ -164,7 +180,11 @@
             "/follow?under={prefix}&after={after}&holdMs={}",
             hold.as_millis()
         );
-        let (status, body) = self.call(Method::GET, &path, None, limit).await?;
+        let (status, body) = match self.call(Method::GET, &path, None, limit).await {
+            // More changes than fit: read page by page, they do.
+            Err(StoreError::AnswerTooLarge) => return Err(StoreError::TooOld),
+            answered => answered?,
+        };
         if status == 200 {
             Self::read(&body)
         } else {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -32,6 +32,9 @@
     /// The history asked for is gone; the keys have to be read again.
     #[error("the history asked for is gone")]
     TooOld,
+    /// It was answered with more than this process has memory for.
+    #[error("the state service's answer is too large")]
+    AnswerTooLarge,
 }
 
 impl StoreError {
@@ -41,7 +44,10 @@
         match self {
             StoreError::Refused(status) => *status != 429,
             StoreError::Unknown => true,
-            StoreError::Nonsense(_) | StoreError::LeaseOver | StoreError::TooOld => false,
+            StoreError::Nonsense(_)
+            | StoreError::LeaseOver
+            | StoreError::TooOld
+            | StoreError::AnswerTooLarge => false,
         }
     }
 }
--- a/tests/common/standins.rs
+++ b/tests/common/standins.rs
@@ -48,9 +48,21 @@
         .body(encode(value))
 }
 
-/// A port nobody listens on.
+/// Loopback addresses given out by this process.
+static ADDRESSES: AtomicUsize = AtomicUsize::new(0);
+
+/// An address nobody listens on, with a loopback IP number of its own. A port of 127.0.0.1 was taken by
+/// another test's connection before the program came to use it: "Address already in use".
 pub fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id() as usize;
+    let ip = format!(
+        "127.{}.{}.{}",
+        1 + process % 250,
+        number / 250,
+        1 + number % 250
+    );
+    let listener = TcpListener::bind((ip.as_str(), 0)).unwrap();
     listener.local_addr().unwrap().to_string()
 }
 
@@ -153,6 +165,20 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes many keys at once, as transactions that a watch tells of together.
+    pub fn put_all(&self, keys: impl Iterator<Item = (String, Value)>) {
+        let mut kept = self.kept.lock().unwrap();
+        for (key, value) in keys {
+            kept.epoch += 1;
+            let epoch = kept.epoch;
+            let event = cbor!({"set" => key, "v" => value, "stamp" => epoch}).unwrap();
+            kept.changes.push((epoch, event, key.clone()));
+            kept.keys.insert(key, (value, epoch, 0));
+        }
+        drop(kept);
+        self.changed.notify_waiters();
+    }
+
     /// Writes a key and lets go of the history up to then, so that open watches are too old.
     pub fn put_and_forget(&self, key: &str, value: Value) {
         let mut kept = self.kept.lock().unwrap();
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -18,6 +18,7 @@
 use ciborium::{cbor, Value};
 use knotlanding::config::Settings;
 use knotlanding::sockets::Sockets;
+use knotlanding::store::client::answer_bytes_max;
 use node::{job, with, without, Bench, Node, PROGRAM, TEST_TIMEOUT};
 use standins::{encode, number, text};
 
@@ -128,6 +129,24 @@
     assert_eq!(text(&body, "status"), "cancelled");
 }
 
+/// A watch's answer has no limit of its own. One that was larger than what was taken failed every
+/// time, and the node read nothing any more.
+#[actix_web::test]
+async fn more_changes_than_an_answer_may_have_are_read_page_by_page() {
+    let small = |text: String| text.replace("mem_mb = 136.0", "mem_mb = 20.0");
+    let bench = Bench::with_settings("large-watch", small);
+    let node = bench.start();
+    node.accept(&job("wk-000060", "array", 2, 4.0)).await;
+    let most = answer_bytes_max(20.0);
+    let value = Value::Text("x".repeat(16 * 1024));
+    let count = 2 * most / (16 * 1024);
+    let keys = (0..count).map(|n| (format!("kl/other/{n:04}"), value.clone()));
+    bench.state.put_all(keys);
+    node.until("wk-000060", "done").await;
+    node.accept(&job("wk-000061", "group", 2, 15.0)).await;
+    node.until("wk-000061", "done").await;
+}
+
 /// A controller may be back within a fraction of a second, while its own lease still stands
 /// and in the middle of its election.
 #[actix_web::test]
