crates/links: directed links, placement gate, matrix, health, leadership; features file

While transactions fail, a probe of no consequence shows when they succeed again. - admin links, health with the time of the evidence in admin status and machine.

Not yet tested by processes that lose links.

--- a/src/service/contact.rs
+++ b/crates/links/src/contact.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 /// A node whose contact is older than this while another node's is not can take no requests.
-pub(super) const CONTACT_LOST: Duration = Duration::from_secs(4);
+pub const CONTACT_LOST: Duration = Duration::from_secs(4);
 
 /// When the state service last answered, and whether it has failed since.
 #[derive(Debug, Clone, Copy, Default)]
--- /dev/null
+++ b/crates/links/src/health/tests.rs
@@ -0,0 +1,113 @@
+//! Tests of [`super`].
+
+use super::*;
+
+const NOW_S: u64 = 1_000;
+
+fn judge(evidence: WorkerEvidence, hears_workers: bool, start: Instant) -> WorkerHealth {
+    let judge = HealthJudge {
+        limits: HealthLimits {
+            suspect: Duration::from_secs(5),
+            lost: Duration::from_secs(9),
+        },
+        hears_workers,
+        now: start + Duration::from_secs(NOW_S),
+    };
+    judge.judge(&evidence)
+}
+
+#[test]
+fn each_direction_is_judged_by_its_own_evidence() {
+    let start = Instant::now();
+    let ago = |s: u64| Some(start + Duration::from_secs(NOW_S - s));
+    let good = WorkerEvidence {
+        reported: ago(2),
+        hears: true,
+        ..WorkerEvidence::default()
+    };
+    let doubted = |s| WorkerEvidence {
+        hears: false,
+        doubted_since: ago(s),
+        ..good
+    };
+    let cases = [
+        (good, HealthState::Healthy, None),
+        (
+            WorkerEvidence {
+                reported: ago(6),
+                ..good
+            },
+            HealthState::Suspect,
+            None,
+        ),
+        (
+            WorkerEvidence {
+                hears: false,
+                ..good
+            },
+            HealthState::Suspect,
+            None,
+        ),
+        (
+            WorkerEvidence {
+                commands_in_vain: 1,
+                ..good
+            },
+            HealthState::Suspect,
+            None,
+        ),
+        (doubted(1), HealthState::Suspect, None),
+        // Reports arrive all the while, and are no evidence for the other direction.
+        (
+            doubted(10),
+            HealthState::Unreachable,
+            Some(LostDirection::ToWorker),
+        ),
+        (
+            WorkerEvidence {
+                commands_in_vain: 2,
+                ..good
+            },
+            HealthState::Unreachable,
+            Some(LostDirection::ToWorker),
+        ),
+        (
+            WorkerEvidence {
+                reported: ago(10),
+                ..good
+            },
+            HealthState::Unreachable,
+            Some(LostDirection::FromWorker),
+        ),
+        (
+            WorkerEvidence {
+                reported: ago(10),
+                commands_in_vain: 2,
+                ..good
+            },
+            HealthState::Unreachable,
+            Some(LostDirection::Both),
+        ),
+        (WorkerEvidence::default(), HealthState::Unknown, None),
+    ];
+    for (evidence, state, lost) in cases {
+        let health = judge(evidence, true, start);
+        assert_eq!((health.state, health.lost), (state, lost), "{evidence:?}");
+        assert_eq!(health.evidence_at, evidence.reported);
+    }
+}
+
+/// A controller that lost its workers must not go on calling them healthy, nor say that they are lost.
+#[test]
+fn a_controller_without_its_workers_says_unknown_and_how_old_its_evidence_is() {
+    let start = Instant::now();
+    let reported = Some(start + Duration::from_secs(NOW_S - 1));
+    let evidence = WorkerEvidence {
+        reported,
+        hears: true,
+        ..WorkerEvidence::default()
+    };
+    let health = judge(evidence, false, start);
+    assert_eq!((health.state, health.lost), (HealthState::Unknown, None));
+    assert_eq!(health.evidence_at, reported);
+}
--- /dev/null
+++ b/crates/links/src/link/tests.rs
@@ -0,0 +1,178 @@
+//! Tests of [`super`].
+
+use super::*;
+
+fn timing() -> LinkTiming {
+    LinkTiming {
+        row_interval: Duration::from_secs(1),
+        renewal_interval: Duration::from_millis(700),
+        leader_lease: Duration::from_secs(3),
+        report_interval: Duration::from_secs(3),
+        clock_difference: Duration::from_millis(50),
+    }
+}
+
+const JUDGEMENT: Judgement = Judgement {
+    phi_down: 8.0,
+    damping: true,
+};
+
+/// A link with a clock in milliseconds.
+struct Played {
+    link: Link,
+    start: Instant,
+}
+
+impl Played {
+    fn new(regular: Option<Duration>) -> Self {
+        let start = Instant::now();
+        let link = Link::new(JUDGEMENT, &timing(), regular, start);
+        Self { link, start }
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.start + Duration::from_millis(ms)
+    }
+
+    fn success(&mut self, sent: u64, now: u64) -> LinkState {
+        let (sent, now) = (self.at(sent), self.at(now));
+        self.link.success(sent, now);
+        self.link.state()
+    }
+
+    fn failure(&mut self, sent: u64, now: u64) -> LinkState {
+        let (sent, now) = (self.at(sent), self.at(now));
+        self.link.failure(sent, now);
+        self.link.state()
+    }
+
+    fn look(&mut self, now: u64) -> LinkState {
+        let now = self.at(now);
+        self.link.evaluate(now);
+        self.link.state()
+    }
+}
+
+#[test]
+fn two_failures_in_a_row_lose_a_link_and_a_success_sent_later_restores_it() {
+    let mut played = Played::new(None);
+    assert_eq!(played.look(0), LinkState::Unknown);
+    assert_eq!(played.success(0, 10), LinkState::Up);
+    assert_eq!(played.failure(100, 1_600), LinkState::Suspect);
+    assert_eq!(played.failure(200, 1_700), LinkState::Down);
+    // Sent before the failures, and only its answer was late.
+    assert_eq!(played.success(50, 1_800), LinkState::Down);
+    assert_eq!(played.success(1_750, 1_900), LinkState::Up);
+    assert!(played.link.usable());
+}
+
+/// Of requests side by side some are lost; the others show that the link is there.
+#[test]
+fn a_failure_says_nothing_if_a_request_sent_later_succeeded() {
+    let mut played = Played::new(None);
+    played.success(0, 10);
+    for n in 0..20 {
+        let sent = 1_000 * n;
+        played.success(sent + 500, sent + 510);
+        assert_eq!(played.failure(sent, sent + 1_500), LinkState::Up);
+    }
+    assert!(!played.link.suppressed());
+}
+
+#[test]
+fn silence_loses_a_link_only_if_it_is_used_regularly() {
+    let mut regular = Played::new(Some(Duration::from_secs(1)));
+    let mut on_demand = Played::new(None);
+    for second in 0..10 {
+        regular.success(second * 1_000, second * 1_000);
+        on_demand.success(second * 1_000, second * 1_000);
+    }
+    assert_eq!(regular.look(9_500), LinkState::Up);
+    assert_eq!(regular.look(20_000), LinkState::Down);
+    assert_eq!(on_demand.look(3_600_000), LinkState::Up);
+}
+
+#[test]
+fn a_suspect_link_comes_before_a_lost_one() {
+    let mut played = Played::new(Some(Duration::from_secs(1)));
+    for second in 0..10 {
+        played.success(second * 1_000, second * 1_000);
+    }
+    let states: Vec<LinkState> = (0..60).map(|t| played.look(9_000 + t * 100)).collect();
+    let mut seen = states.clone();
+    seen.dedup();
+    let expected = [LinkState::Up, LinkState::Suspect, LinkState::Down];
+    assert_eq!(seen, expected, "{states:?}");
+}
+
+/// Up for three seconds and down for three, again and again.
+#[test]
+fn a_link_that_flaps_counts_as_down_while_it_is_up_until_it_has_been_quiet() {
+    let mut played = Played::new(None);
+    let mut up_and_suppressed = 0;
+    for round in 0..10 {
+        let base = round * 6_000;
+        assert_eq!(played.success(base, base + 10), LinkState::Up);
+        up_and_suppressed += u32::from(played.link.suppressed());
+        played.failure(base + 3_000, base + 4_500);
+        assert_eq!(played.failure(base + 3_500, base + 5_000), LinkState::Down);
+    }
+    assert!(up_and_suppressed >= 6, "{up_and_suppressed}");
+    assert_eq!(played.success(60_000, 60_010), LinkState::Up);
+    assert!(played.link.counts_as_down() && !played.link.usable());
+    played.look(60_000 + 36_000);
+    assert!(played.link.usable(), "quiet for long enough");
+}
+
+#[test]
+fn without_damping_a_link_that_is_up_can_be_used() {
+    let start = Instant::now();
+    let judgement = Judgement {
+        damping: false,
+        ..JUDGEMENT
+    };
+    let mut link = Link::new(judgement, &timing(), None, start);
+    for round in 0..20 {
+        let at = |ms: u64| start + Duration::from_millis(round * 2_000 + ms);
+        link.success(at(0), at(1));
+        assert!(link.usable());
+        link.failure(at(1_000), at(1_100));
+        link.failure(at(1_200), at(1_300));
+        assert!(!link.usable());
+    }
+}
+
+#[test]
+fn a_transition_is_told_once() {
+    let mut played = Played::new(None);
+    let (a, b) = (played.at(0), played.at(10));
+    let first = played.link.success(a, b);
+    let up = Transition {
+        from: LinkState::Unknown,
+        to: LinkState::Up,
+        suppressed: false,
+    };
+    assert_eq!(first, Some(up));
+    for ms in 1..100 {
+        let at = played.at(ms * 10);
+        assert_eq!(played.link.success(at, at), None);
+    }
+}
+
+/// A controller that stood still was not there to hear anybody.
+#[test]
+fn standing_still_is_no_evidence() {
+    let mut played = Played::new(Some(Duration::from_secs(1)));
+    for second in 0..10 {
+        played.success(second * 1_000, second * 1_000);
+    }
+    let now = played.at(70_000);
+    played.link.forget(now);
+    assert_eq!(played.link.state(), LinkState::Up);
+    assert_eq!(
+        played.link.evidence_at(),
+        Some(played.at(9_000)),
+        "its age is told"
+    );
+    assert_eq!(played.look(90_000), LinkState::Down);
+}
--- /dev/null
+++ b/crates/links/src/row/tests.rs
@@ -0,0 +1,63 @@
+//! Tests of [`super`].
+
+use super::*;
+
+fn message() -> RowMessage {
+    let set = |names: &[&str]| WorkerSet::of(names.iter().copied()).to_bytes();
+    let up = LinkReport {
+        state: LinkState::Up,
+        suppressed: false,
+        evidence_age_ms: Some(40),
+    };
+    let peer = |member: &str, outbound| PeerLinks {
+        member: member.to_owned(),
+        outbound,
+        inbound: up,
+    };
+    RowMessage {
+        version: ROW_VERSION,
+        member: "knot-1".to_owned(),
+        life: 7,
+        sequence: 1,
+        sent_at_ms: 1_000,
+        leads_term: None,
+        store_read: up,
+        store_write: LinkReport::UNKNOWN,
+        peers: vec![peer("knot-0", up), peer("knot-2", LinkReport::UNKNOWN)],
+        workers_heard: set(&["m-000001", "m-000002"]),
+        workers_reached: set(&["m-000001"]),
+    }
+}
+
+#[test]
+fn a_row_is_checked_and_sent_on_as_it_was() {
+    let row = Row::check(message()).unwrap();
+    assert_eq!((row.heard.len(), row.reached.len()), (2, 1));
+    assert_eq!(row.to_message(), message());
+    assert!(row.reaches("knot-0") && !row.reaches("knot-2") && !row.reaches("knot-9"));
+}
+
+#[test]
+fn a_follower_that_has_not_written_yet_has_the_state_service_and_one_that_can_not_read_has_not() {
+    let usable = |change: fn(&mut RowMessage)| {
+        let mut message = message();
+        change(&mut message);
+        Row::check(message).unwrap().store_usable()
+    };
+    assert!(usable(|_| ()));
+    assert!(!usable(|m| m.store_read = LinkReport::UNKNOWN));
+    assert!(!usable(|m| m.store_read.suppressed = true));
+    assert!(!usable(|m| m.store_write.state = LinkState::Down));
+    assert!(!usable(|m| m.store_write.suppressed = true));
+    assert!(usable(|m| m.store_write.state = LinkState::Suspect));
+}
+
+#[test]
+fn another_version_and_broken_sets_are_refused() {
+    let mut other = message();
+    other.version = ROW_VERSION + 1;
+    assert_eq!(Row::check(other), Err(RowRejection::UnknownVersion(2)));
+    let mut broken = message();
+    broken.workers_reached.pop();
+    assert_eq!(Row::check(broken), Err(RowRejection::Malformed));
+}
--- a/src/actors/leader.rs
+++ b/src/actors/leader.rs
@@ -6,6 +6,8 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use actix::prelude::*;
+use knotlanding_links::leadership::Decision;
+use knotlanding_links::table::StoreOperation;
 use rand::Rng;
 use tracing::{debug, info, warn};
 
@@ -63,6 +65,7 @@
             renewals: Rc::default(),
             next_renewal: Rc::default(),
             late_at: Cell::new(None),
+            vacant_since: Cell::new(None),
         };
         actix::spawn(election.run());
     }
@@ -78,7 +81,7 @@
 ) {
     match outcome {
         Ok(()) => {
-            shared.store_answered(sent);
+            shared.store_answered(StoreOperation::Lease, sent);
             shared.role.lock().renewed(lease, sent);
             // After a gap the lease may last again, but the replica is old.
             if shared.role.lock().wants_proof(Instant::now()) {
@@ -100,7 +103,7 @@
         Err(error) => {
             debug!(%error, "renewal failed");
             if error.contact_lost() {
-                shared.store_failed();
+                shared.store_failed(StoreOperation::Lease, sent);
             }
             shared.wake_leader.notify_one();
         }
@@ -117,6 +120,8 @@
     renewals: Rc<Cell<usize>>,
     /// When our timers were last late: nothing of us runs in time then.
     late_at: Cell<Option<Instant>>,
+    /// Since when nobody leads, as far as we have looked.
+    vacant_since: Cell<Option<Instant>>,
     /// When which lease is to be renewed next.
     next_renewal: Rc<Cell<Option<(u64, Instant)>>>,
 }
@@ -149,6 +154,7 @@
         let Some(leader) = record else {
             return self.seek().await;
         };
+        self.vacant_since.set(None);
         let ours = self.shared.role.lock().record_is_ours(&leader.record);
         if ours {
             if self.shared.role.lock().own_term().is_none() && revision >= leader.version {
@@ -185,22 +191,54 @@
         if self.late_at.get().is_some_and(late) {
             return false;
         }
+        let unread = self.unread(now);
+        let elsewhere = self.workers_elsewhere(now);
+        let outclassed = self.outclassed(now);
+        if unread || elsewhere || outclassed {
+            info!(unread, elsewhere, outclassed, "the lead is of no use");
+        }
+        unread || elsewhere || outclassed
+    }
+
+    /// Whether we renew our lease and read nothing. Where the others' rows say that none of them has the
+    /// state service either, nobody is better.
+    fn unread(&self, now: Instant) -> bool {
+        if !self.shared.role.lock().reads_nothing(now) {
+            return false;
+        }
+        let links = self.shared.links.active();
+        let others = links.and_then(|links| links.others_have_store(now));
+        others != Some(false)
+    }
+
+    /// Whether hardly any worker gets through to us, and many come to other nodes in vain.
+    fn workers_elsewhere(&self, now: Instant) -> bool {
         let unheard = {
             let cluster = self.shared.cluster.lock();
             cluster.as_ref().is_some_and(|c| c.hears_few_machines(now))
         };
-        let unread = self.shared.role.lock().reads_nothing(now);
-        let elsewhere = unheard && self.shared.misdirected_reports.lock().lately(now);
-        if unread || elsewhere {
-            info!(unread, elsewhere, "the lead is of no use");
+        unheard && self.shared.links.misdirected_lately(now)
+    }
+
+    /// Whether the connectivity matrix says that another node should lead.
+    fn outclassed(&self, now: Instant) -> bool {
+        let Some(links) = self.shared.links.active() else {
+            return false;
+        };
+        if !links.features.leadership || self.shared.role.lock().leading(now).is_none() {
+            return false;
         }
-        unread || elsewhere
+        matches!(links.decide_lead(now), Decision::HandOver { .. })
     }
 
     /// Ends our lease so that another node leads at once.
     async fn hand_over(&self, lease: u64) {
         warn!("workers or the records are out of our reach; another node is to lead");
-        self.shared.role.lock().stand_back(Instant::now());
+        let now = Instant::now();
+        self.shared.role.lock().stand_back(now);
+        if let Some(links) = self.shared.links.active() {
+            links.handed_over(now);
+        }
         self.step_down();
         if let Err(error) = self.client.end(lease).await {
             debug!(%error, "our lease will end by itself");
@@ -308,6 +346,24 @@
         }
     }
 
+    /// Whether the election is left to a better connected node, for one renewal's time at most: should it
+    /// not stand, somebody has to.
+    fn yields(&self) -> bool {
+        let now = Instant::now();
+        let since = match self.vacant_since.get() {
+            Some(since) => since,
+            None => {
+                self.vacant_since.set(Some(now));
+                now
+            }
+        };
+        if now.saturating_duration_since(since) >= self.renew_every {
+            return false;
+        }
+        let links = self.shared.links.active();
+        links.is_some_and(|links| links.should_yield(now))
+    }
+
     /// Nobody leads: try to.
     async fn seek(&self) -> Duration {
         self.leave_lease().await;
@@ -318,6 +374,9 @@
         if self.shared.role.lock().stands_back(Instant::now()) {
             return self.renew_every;
         }
+        if self.yields() {
+            return RETRY_DELAY;
+        }
         let jitter = rand::rng().random_range(0.0..1.0);
         let sent = Instant::now();
         let id = match self.client.grant(self.lease_time).await {
@@ -325,7 +384,7 @@
             Err(error) => {
                 debug!(%error, "no lease to be had");
                 if error.contact_lost() {
-                    self.shared.store_failed();
+                    self.shared.store_failed(StoreOperation::Lease, sent);
                 }
                 return RETRY_DELAY + RETRY_DELAY.mul_f64(jitter);
             }
--- a/src/actors/mod.rs
+++ b/src/actors/mod.rs
@@ -3,6 +3,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod leader;
+pub mod links;
 pub mod metrics;
 pub mod peers;
 pub mod round;
--- a/src/actors/peers.rs
+++ b/src/actors/peers.rs
@@ -12,14 +12,14 @@
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::Client;
+use knotlanding_links::contact::PeerContactAnswer;
+use knotlanding_links::misdirected::MANY_MISDIRECTED;
 
 use crate::model::Term;
 use crate::peer::digest::{
     Digest, DigestContents, DigestRecipient, DigestReply, DIGEST, DIGEST_LIMIT,
 };
 use crate::peer::{self, cancelled, contact};
-use crate::service::contact::{PeerContactAnswer, PeerContacts};
-use crate::service::misdirected::MANY_MISDIRECTED;
 use crate::service::Shared;
 use crate::store::actor::{Commit, StoreActor};
 use crate::store::keys::{self, MisdirectedRecord};
@@ -96,7 +96,7 @@
             actor.last = now;
             if missed > STOOD_STILL {
                 // Who has said nothing while we stood still is not out of reach for that.
-                *actor.shared.peer_contacts.lock() = PeerContacts::default();
+                actor.shared.links.forget_peer_contacts();
             }
             actor.tell();
             actor.ask();
@@ -204,7 +204,7 @@
     fn write_misdirected(&mut self, now: Instant) {
         let count = self.shared.misdirected.load(Ordering::Relaxed);
         let (written, at) = self.written;
-        let heard = *self.shared.peer_contact.lock();
+        let heard = self.shared.links.digest_heard();
         let missed = heard.is_none_or(|at| now.saturating_duration_since(at) > DIGESTS_MISSED);
         if !missed {
             self.written = (count, at);
@@ -234,11 +234,11 @@
 
     /// Asks the others whether they have the state service, while we don't.
     fn ask(&self) {
-        if self.shared.contact.lock().failing_since.is_none() {
-            *self.shared.peer_contacts.lock() = PeerContacts::default();
+        if self.shared.links.contact().failing_since.is_none() {
+            self.shared.links.forget_peer_contacts();
             return;
         }
-        self.shared.peer_contacts.lock().asked(Instant::now());
+        self.shared.links.peers_asked(Instant::now());
         for peer in &self.peers {
             let sent = self
                 .http
@@ -257,7 +257,7 @@
                     }
                     Err(_) => return,
                 };
-                shared.peer_contacts.lock().answered(said, Instant::now());
+                shared.links.peer_contact_answered(said, Instant::now());
             });
         }
     }
@@ -280,10 +280,7 @@
                 let body = answer.body().await.unwrap_or_default();
                 if let Some(DigestReply { misdirected }) = peer::decode(&body) {
                     let now = Instant::now();
-                    shared
-                        .misdirected_reports
-                        .lock()
-                        .counted(&member, misdirected, now);
+                    shared.links.misdirected_counted(&member, misdirected, now);
                 }
             }
         });
--- a/src/actors/round.rs
+++ b/src/actors/round.rs
@@ -7,6 +7,7 @@
 
 use actix::prelude::*;
 use awc::Client;
+use knotlanding_links::gate::GateRefusal;
 use parking_lot::Mutex;
 use tokio::sync::Semaphore;
 use tracing::{debug, info};
@@ -36,6 +37,9 @@
 /// A worker that has not taken a direct command by then gets it by its report.
 const ORDER_LIMIT: Duration = Duration::from_secs(2);
 
+/// What jobs wait for while the replica is too old for starts.
+const FRESH_READ: &str = "a fresh read of the records";
+
 /// The latest round's shortages, for the fleet.
 pub type Shortages = Arc<Mutex<Vec<Short>>>;
 
@@ -133,7 +137,8 @@
     }
 
     fn round(self: &Rc<Self>, lead: &Lead, now: Instant) {
-        let starting = self.shared.role.lock().starting(now).is_some();
+        let refusal = self.shared.links.placement_refusal();
+        let starting = refusal.is_none() && self.shared.role.lock().starting(now).is_some();
         let (direct, waits, settled) = {
             let mut guard = self.shared.cluster.lock();
             let Some(cluster) = guard.as_mut().filter(|c| c.term == lead.term) else {
@@ -146,6 +151,7 @@
             let decisions = if starting {
                 sched::round(cluster, &self.shared.policy, now)
             } else {
+                cluster.all_wait_for(refusal.map_or(FRESH_READ, GateRefusal::reason));
                 Decisions::default()
             };
             sched::apply(cluster, &decisions, now);
--- a/src/api/admin.rs
+++ b/src/api/admin.rs
@@ -9,6 +9,7 @@
 use actix::Addr;
 use actix_web::http::header::{self, HeaderValue};
 use actix_web::{web, HttpResponse};
+use knotlanding_links::health::{HealthJudge, HealthState, LostDirection, WorkerHealth};
 use serde::{Deserialize, Serialize};
 
 use super::RETRY_AFTER_S;
@@ -49,10 +50,34 @@
     returning: bool,
     /// Why it gets no new tasks.
     passed_over: Option<&'static str>,
+    health: MachineHealth,
+}
+
+/// A machine's health with the time of the evidence.
+#[derive(Debug, Serialize)]
+struct MachineHealth {
+    state: HealthState,
+    /// What is lost, if it is unreachable.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    lost: Option<LostDirection>,
+    evidence_s_ago: Option<f64>,
+}
+
+impl MachineHealth {
+    fn of(health: WorkerHealth, now: Instant) -> Self {
+        let age = health.evidence_at;
+        let age = age.map(|at| now.saturating_duration_since(at).as_secs_f64());
+        Self {
+            state: health.state,
+            lost: health.lost,
+            evidence_s_ago: age,
+        }
+    }
 }
 
 impl MachineStatus {
-    fn of(cluster: &Cluster, machine: &Machine, now: Instant) -> Self {
+    fn of(cluster: &Cluster, machine: &Machine, judge: &HealthJudge) -> Self {
+        let now = judge.now;
         let reported = machine.reported.map(|at| now.saturating_duration_since(at));
         Self {
             build: machine.build.clone(),
@@ -65,6 +90,7 @@
                 .map(|drain| format!("{drain:?}").to_lowercase()),
             returning: machine.returning,
             passed_over: machine.passed_over(now, cluster.timing.quiet),
+            health: MachineHealth::of(judge.judge(&machine.evidence()), now),
         }
     }
 }
@@ -111,6 +137,8 @@
     records_revision: u64,
     state_service_answers: bool,
     unsettled_machines: usize,
+    /// Machines by their health; none on a node that does not lead and can't tell.
+    worker_health: BTreeMap<HealthState, usize>,
     machines: BTreeMap<String, MachineStatus>,
     jobs: BTreeMap<String, JobStatus>,
 }
@@ -136,8 +164,9 @@
         leader,
         term,
         records_revision: shared.replica.lock().revision,
-        state_service_answers: shared.contact.lock().failing_since.is_none(),
+        state_service_answers: shared.links.contact().failing_since.is_none(),
         unsettled_machines: 0,
+        worker_health: BTreeMap::new(),
         machines: BTreeMap::new(),
         jobs: BTreeMap::new(),
     };
@@ -146,8 +175,10 @@
         return status;
     };
     status.unsettled_machines = cluster.unsettled.len();
+    let judge = cluster.health_judge(now);
     for (id, machine) in &cluster.machines {
-        let shown = MachineStatus::of(cluster, machine, now);
+        let shown = MachineStatus::of(cluster, machine, &judge);
+        *status.worker_health.entry(shown.health.state).or_default() += 1;
         status.machines.insert(id.to_string(), shown);
     }
     for (id, job) in &cluster.jobs {
@@ -195,8 +226,9 @@
 pub async fn machine(shared: web::Data<Shared>, path: web::Path<String>) -> HttpResponse {
     let id = MachineId(path.as_str().into());
     from_cluster(&shared, "machine", |cluster, now| {
-        let machine = cluster.machines.get(&id);
-        machine.map(|machine| MachineStatus::of(cluster, machine, now))
+        let machine = cluster.machines.get(&id)?;
+        let judge = cluster.health_judge(now);
+        Some(MachineStatus::of(cluster, machine, &judge))
     })
 }
 
@@ -299,6 +331,7 @@
         web::scope("/admin")
             .app_data(web::PayloadConfig::new(BODY_LIMIT))
             .route("/status", web::get().to(status))
+            .route("/links", web::get().to(super::links::links))
             .route("/metrics", web::get().to(metrics))
             .route("/jobs/{id}", web::get().to(job))
             .route("/machines/{name}", web::get().to(machine))
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -2,6 +2,7 @@
 //! parts that decide, and encode.
 
 pub mod admin;
+pub mod links;
 pub mod users;
 pub mod workers;
 
--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -75,8 +75,12 @@
         Ok(report) => report,
         Err(error) => return Reception::Answered(malformed(&error)),
     };
+    shared.links.worker_reported(&report, clock());
     Reception::Answered(match decide(shared, &report, term, clock) {
-        ReportDecision::Accepted(answer) => cbor(StatusCode::OK, &answer),
+        ReportDecision::Accepted(answer) => {
+            shared.links.worker_answered(&report.machine);
+            cbor(StatusCode::OK, &answer)
+        }
         ReportDecision::Unavailable(why) => unavailable(why),
     })
 }
@@ -111,6 +115,7 @@
         let answer = unavailable("the worker knows a newer leader");
         return Reception::Answered(answer);
     }
+    shared.links.worker_reported(&report, now);
     let queued = shared.forwarding.lock().enqueue(report, body.len(), now);
     match queued {
         Ok(pending) => {
@@ -145,7 +150,13 @@
     let answer = answer.ok().and_then(Result::ok);
     let now = Instant::now();
     match answer {
-        Some(answer) => pass_on(&pending, answer, now),
+        Some(answer) => {
+            let passed_on = pass_on(&pending, answer, now);
+            if passed_on.status() == StatusCode::OK {
+                shared.links.worker_answered(&pending.machine);
+            }
+            passed_on
+        }
         None => no_answer(shared, now),
     }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,6 +11,9 @@
     /// Serve as a controller with this settings file.
     #[arg(long, value_name = "FILE")]
     pub config: Option<PathBuf>,
+    /// Turn on what this file names; see deploy/features.toml. Without it nothing is turned on.
+    #[arg(long, value_name = "FILE")]
+    pub features: Option<PathBuf>,
     /// What to do instead of serving.
     #[command(subcommand)]
     pub command: Option<Command>,
@@ -23,6 +26,9 @@
     Check {
         /// The file.
         file: PathBuf,
+        /// A features file to check with it.
+        #[arg(long, value_name = "FILE")]
+        features: Option<PathBuf>,
     },
     /// Talk to a running controller's administration interface.
     Admin {
@@ -52,6 +58,8 @@
     },
     /// Counters and histograms.
     Metrics,
+    /// The connectivity matrix, suppressed links and the last decisions on the lead.
+    Links,
     /// The operators' settings with their version.
     Settings,
     /// Set the operators' settings: JSON with `version` and `settings`, as `settings` prints it.
--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use knotlanding_links::health::WorkerEvidence;
+
 use super::faults::Blame;
 use super::{ImageId, KindId};
 use crate::model::{Amount, Attempt, JobId, JobSpec, MachineId, TaskId, Token};
@@ -149,6 +151,11 @@
         }
     }
 
+    /// Since when it is in doubt.
+    pub fn doubted_since(&self) -> Option<Instant> {
+        self.doubt.map(|(_, since)| since)
+    }
+
     /// The doubt could not have been ended for so long.
     pub fn wait(&mut self, missed: Duration) {
         if let Some((_, since)) = &mut self.doubt {
@@ -357,6 +364,16 @@
             .is_some_and(|at| now.saturating_duration_since(at) > limit)
     }
 
+    /// What speaks for and against its health.
+    pub fn evidence(&self) -> WorkerEvidence {
+        WorkerEvidence {
+            reported: self.reported,
+            hears: self.fenced && self.reachability.fine(),
+            doubted_since: self.reachability.doubted_since(),
+            commands_in_vain: self.in_vain,
+        }
+    }
+
     /// Why it gets no new tasks, if that is so.
     pub fn passed_over(&self, now: Instant, silence: Duration) -> Option<&'static str> {
         let reasons = [
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -28,6 +28,8 @@
 pub use records::{RecordKind, RecordWrite};
 pub use report::{ReportSource, Verified};
 
+use knotlanding_links::health::{HealthJudge, HealthLimits};
+
 use self::sent::SentLists;
 use crate::config::{secs, Settings};
 use crate::leader::{keep_alive_time, DRIFT};
@@ -349,6 +351,12 @@
         self.stop_job(id, 0.0);
     }
 
+    /// Nothing is placed now, and all jobs that would be wait for the same.
+    pub fn all_wait_for(&mut self, what: &'static str) {
+        let open = self.jobs.values_mut().filter(|job| job.open());
+        open.for_each(|job| job.waits_for = what);
+    }
+
     /// All places of a job.
     pub fn slots_of(&self, id: &JobId) -> Vec<(MachineId, SlotId)> {
         let Some(job) = self.jobs.get(id) else {
@@ -510,6 +518,19 @@
         known > 0 && (heard as f64) < f64::from(known) * FEW_PART
     }
 
+    /// What machines' health is judged by now. Who hears hardly any of them can't tell a machine's
+    /// silence from its own.
+    pub fn health_judge(&self, now: Instant) -> HealthJudge {
+        HealthJudge {
+            limits: HealthLimits {
+                suspect: self.timing.report.mul_f64(LATE_REPORT) + self.timing.report / 2,
+                lost: self.timing.lost,
+            },
+            hears_workers: !self.hears_few_machines(now),
+            now,
+        }
+    }
+
     /// Number of completed and of running tasks of one job, for display.
     pub fn count(&self, id: &JobId) -> (u32, u32) {
         let Some(job) = self.jobs.get(id) else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cli;
 pub mod cluster;
 pub mod config;
+pub mod features;
 pub mod fleet;
 pub mod http;
 pub mod leader;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,11 +1,13 @@
 //! The program: reads the command line, then hands over to the library.
 
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::Parser;
 use knotlanding::cli::{AdminAction, Cli, Command};
 use knotlanding::config::Settings;
+use knotlanding::features::Features;
 
 /// Exit code for settings or arguments that can't be used.
 const USAGE: u8 = 2;
@@ -19,30 +21,44 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     match (cli.command, cli.config) {
-        (Some(Command::Check { file }), _) => match Settings::load(&file) {
-            Ok(settings) => {
-                println!("{}: fine, for {}", file.display(), settings.member);
-                ExitCode::SUCCESS
-            }
-            Err(error) => fail(USAGE, &error.to_string()),
-        },
+        (Some(Command::Check { file, features }), _) => check(&file, features.as_deref()),
         (Some(Command::Admin { node, action }), _) => admin(node, action),
-        (None, Some(file)) => match Settings::load(&file) {
-            Ok(settings) => serve(settings),
-            Err(error) => fail(USAGE, &error.to_string()),
+        (None, Some(file)) => match load(&file, cli.features.as_deref()) {
+            Ok((settings, features)) => serve(settings, features),
+            Err(error) => fail(USAGE, &error),
         },
         (None, None) => fail(USAGE, "give --config FILE to serve, or see --help"),
     }
 }
 
+/// Reads the settings, and the features if a file is named.
+fn load(settings: &Path, features: Option<&Path>) -> Result<(Settings, Features), String> {
+    let settings = Settings::load(settings).map_err(|error| error.to_string())?;
+    let features = match features {
+        Some(file) => Features::load(file).map_err(|error| error.to_string())?,
+        None => Features::default(),
+    };
+    Ok((settings, features))
+}
+
+fn check(file: &Path, features: Option<&Path>) -> ExitCode {
+    match load(file, features) {
+        Ok((settings, _)) => {
+            println!("{}: fine, for {}", file.display(), settings.member);
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(USAGE, &error),
+    }
+}
+
 fn fail(code: u8, message: &str) -> ExitCode {
     eprintln!("knotlanding: {message}");
     ExitCode::from(code)
 }
 
-fn serve(settings: Settings) -> ExitCode {
+fn serve(settings: Settings, features: Features) -> ExitCode {
     log_to_stderr();
-    match actix::System::new().block_on(knotlanding::run::serve(settings)) {
+    match actix::System::new().block_on(knotlanding::run::serve(settings, features)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => fail(FAILURE, &format!("cannot serve: {error}")),
     }
@@ -73,6 +89,7 @@
                 http.get(url(&format!("machines/{name}"))).send().await
             }
             AdminAction::Metrics => http.get(url("metrics")).send().await,
+            AdminAction::Links => http.get(url("links")).send().await,
             AdminAction::Settings => http.get(url("settings")).send().await,
             AdminAction::Set { json } => {
                 let body = match json.strip_prefix('@') {
--- a/src/peer/contact.rs
+++ b/src/peer/contact.rs
@@ -11,7 +11,7 @@
 /// `GET /peer/pulse`
 pub async fn tell_contact(shared: web::Data<Shared>) -> HttpResponse {
     // After standing still, no failure is known yet and no contact either.
-    let contact = *shared.contact.lock();
+    let contact = shared.links.contact();
     let recent = contact
         .answered
         .is_some_and(|at| at.elapsed() < WATCH_HOLD * 2 + WATCH_GRACE);
--- a/src/peer/digest.rs
+++ b/src/peer/digest.rs
@@ -245,7 +245,7 @@
         return HttpResponse::Forbidden().finish();
     }
     shared.role.lock().hears(digest.term, &digest.member);
-    *shared.peer_contact.lock() = Some(Instant::now());
+    shared.links.digest_came(Instant::now());
     let misdirected = shared.misdirected.load(Ordering::Relaxed);
     let heard = encode(&DigestReply { misdirected }).unwrap_or_default();
     let mut answer = if shared.digest_view.lock().take(digest) {
--- a/src/peer/forwarding.rs
+++ b/src/peer/forwarding.rs
@@ -148,6 +148,8 @@
 /// The worker's connection, waiting for what the leader decides.
 #[derive(Debug)]
 pub struct PendingReport {
+    /// The worker.
+    pub machine: String,
     /// When the report came.
     pub received: Instant,
     /// The highest token that the worker had seen.
@@ -223,6 +225,7 @@
         }
         let (sender, receiver) = oneshot::channel();
         let token = report.token;
+        let machine = report.machine.clone();
         self.queued_bytes += body_bytes;
         self.queue.push_back(QueuedReport {
             report: report.into(),
@@ -232,6 +235,7 @@
             answer: sender,
         });
         Ok(PendingReport {
+            machine,
             received: now,
             token,
             answer: receiver,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,15 +3,17 @@
 //!
 //! [`digest`] is what the leader tells the others once a second, [`cancelled`] what users called
 //! off, [`contact`] whether a node has the state service, [`reports`] and [`forwarding`] how
-//! workers' reports get from a follower to the leader.
+//! workers' reports get from a follower to the leader, [`links`] how well the nodes are connected.
 
 pub mod cancelled;
 pub mod contact;
 pub mod digest;
 pub mod forwarding;
+pub mod links;
 pub mod reports;
 
 use actix_web::web;
+use knotlanding_links::row::ROW_BYTES_MAX;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -61,5 +63,10 @@
                 .app_data(web::PayloadConfig::new(reports::BATCH_BODY_LIMIT))
                 .route(web::post().to(reports::reports)),
         )
+        .service(
+            web::resource(links::LINKS)
+                .app_data(web::PayloadConfig::new(ROW_BYTES_MAX))
+                .route(web::post().to(links::take_row)),
+        )
         .route(contact::CONTACT, web::get().to(contact::tell_contact));
 }
--- a/src/run.rs
+++ b/src/run.rs
@@ -11,10 +11,12 @@
 use crate::actors::fleet::FleetActor;
 use crate::actors::forward::ForwardActor;
 use crate::actors::leader::LeaderActor;
+use crate::actors::links::LinksActor;
 use crate::actors::metrics::MetricsActor;
 use crate::actors::peers::PeersActor;
 use crate::actors::round::{RoundActor, Shortages};
 use crate::config::Settings;
+use crate::features::Features;
 use crate::fleet::client::CloudClient;
 use crate::service::{OpenConnection, Shared};
 use crate::store::actor::StoreActor;
@@ -38,12 +40,12 @@
 }
 
 /// Serves until the process is ended.
-pub async fn serve(settings: Settings) -> io::Result<()> {
+pub async fn serve(settings: Settings, features: Features) -> io::Result<()> {
     let (public_addr, peer_bind) = (settings.public_addr, settings.peer_bind);
     let external = settings.external.clone();
     let member = settings.member.clone();
 
-    let shared = Shared::new(settings);
+    let shared = Shared::with_features(settings, features);
     let sockets = shared.sockets.clone();
     let http = http_client(sockets.own);
     // Machines that don't answer must not hold the places of those who ask the services.
@@ -105,6 +107,11 @@
     // A leader that is slow to answer must not hold the places of the digests.
     ForwardActor::new(shared.clone(), http_client(sockets.forwarding)).start();
     MetricsActor::new(shared.clone()).start();
+    if shared.links.active().is_some() {
+        // A peer that holds rows up must not hold the places of the digests.
+        let for_rows = http_client(sockets.rows);
+        LinksActor::new(shared.clone(), store.clone(), for_rows).start();
+    }
     PeersActor::new(shared, store, http).start();
 
     info!(member, %public_addr, %peer_bind, "serving");
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -3,8 +3,7 @@
 //! Locks are taken in the order replica, role, cluster, the rest; they are never held across
 //! an await, and nothing is sent, written or encoded under them.
 
-pub mod contact;
-pub mod misdirected;
+pub mod links;
 pub mod operator;
 pub mod reports;
 
@@ -12,13 +11,15 @@
 use std::sync::Arc;
 use std::time::{Instant, SystemTime};
 
+use knotlanding_links::table::StoreOperation;
 use parking_lot::Mutex;
 use tokio::sync::{watch, Notify};
 use tracing::warn;
 
 use crate::cluster::{Catalog, Cluster, Drain};
 use crate::config::Settings;
-use crate::leader::Role;
+use crate::features::Features;
+use crate::leader::{Lead, Role};
 use crate::metrics::Metrics;
 use crate::model::{JobId, MachineId};
 use crate::peer::digest::DigestView;
@@ -28,8 +29,7 @@
 use crate::store::from_value;
 use crate::store::limiter::Bucket;
 use crate::store::replica::{Replica, ReplicaChange};
-use contact::{Contact, PeerContacts, CONTACT_LOST};
-use misdirected::MisdirectedReports;
+use links::LinkMonitor;
 use operator::OperatorSettings;
 
 /// Counts a connection for as long as it is open.
@@ -80,12 +80,8 @@
     pub catalog: Mutex<Option<Catalog>>,
     /// What the leader last told.
     pub digest_view: Mutex<DigestView>,
-    /// Contact with the state service.
-    pub contact: Mutex<Contact>,
-    /// When a peer last told that it is in contact with the state service.
-    pub peer_contact: Mutex<Option<Instant>>,
-    /// What the peers say while we lack the state service.
-    pub peer_contacts: Mutex<PeerContacts>,
+    /// What is known of this process's links.
+    pub links: LinkMonitor,
     /// Operators' settings in force.
     pub operator: Mutex<OperatorSettings>,
     /// Connections open on the public address.
@@ -98,8 +94,6 @@
     pub redirects: Mutex<Bucket>,
     /// Reports of workers that we could neither answer nor forward.
     pub misdirected: AtomicU64,
-    /// Workers that report elsewhere while we lead.
-    pub misdirected_reports: Mutex<MisdirectedReports>,
     /// Figures.
     pub metrics: Mutex<Metrics>,
     /// Wakes the round.
@@ -143,8 +137,13 @@
 }
 
 impl Shared {
-    /// The state of a process that has just started.
+    /// The state of a process that has just started, with nothing turned on by a features file.
     pub fn new(settings: Settings) -> Arc<Self> {
+        Self::with_features(settings, Features::default())
+    }
+
+    /// The state of a process that has just started.
+    pub fn with_features(settings: Settings, features: Features) -> Arc<Self> {
         let sockets = Sockets::of(&settings);
         let queue_limits = QueueLimits::new(sockets.public, settings.params.resources.mem_mb);
         Arc::new(Self {
@@ -158,16 +157,13 @@
             cluster: Mutex::default(),
             catalog: Mutex::default(),
             digest_view: Mutex::default(),
-            peer_contacts: Mutex::default(),
-            contact: Mutex::default(),
-            peer_contact: Mutex::default(),
+            links: LinkMonitor::new(&settings, features.links),
             operator: Mutex::default(),
             connections: Arc::default(),
             forwarding: Mutex::new(Forwarding::new(queue_limits)),
             wake_forwarding: Notify::new(),
             redirects: Mutex::new(Bucket::new(redirect_rate(&settings), Instant::now())),
             misdirected: AtomicU64::default(),
-            misdirected_reports: Mutex::default(),
             metrics: Mutex::default(),
             wake_round: Notify::new(),
             cancelled: Mutex::default(),
@@ -179,26 +175,31 @@
     }
 
     /// A request sent at `sent` was answered by the state service.
-    pub fn store_answered(&self, sent: Instant) {
-        let mut contact = self.contact.lock();
-        contact.answered = contact.answered.max(Some(sent));
-        contact.failing_since = None;
+    pub fn store_answered(&self, operation: StoreOperation, sent: Instant) {
+        self.links.store_answered(operation, sent, Instant::now());
     }
 
-    /// A request to the state service failed.
-    pub fn store_failed(&self) {
+    /// A request sent at `sent` to the state service failed.
+    pub fn store_failed(&self, operation: StoreOperation, sent: Instant) {
         let now = Instant::now();
         let leads = {
             let mut role = self.role.lock();
             role.freshness().doubt(now);
             role.own_term().is_some()
         };
-        self.contact.lock().failing_since.get_or_insert(now);
+        self.links.store_failed(operation, sent, now);
         if leads {
             self.wake_reader.notify_one();
         }
     }
 
+    /// The lead, if starts may be decided and sent under it now: lease and replica allow it, and the
+    /// links to the state service don't refuse it.
+    pub fn starting(&self, now: Instant) -> Option<Lead> {
+        let lead = self.role.lock().starting(now)?;
+        self.links.placement_refusal().is_none().then_some(lead)
+    }
+
     /// The replica and the cluster state have all that was confirmed before `sent`.
     pub fn replica_complete(&self, sent: Instant) {
         self.role.lock().freshness().proved(sent);
@@ -207,15 +208,9 @@
     /// Whether this node can take requests. In an outage that all nodes share none is better
     /// than another, and all go on.
     pub fn fit_for_requests(&self, now: Instant) -> bool {
-        let contact = *self.contact.lock();
-        let failing = contact
-            .failing_since
-            .is_some_and(|since| now.saturating_duration_since(since) > CONTACT_LOST);
-        let peer = *self.peer_contact.lock();
-        let peer_fine = peer.is_some_and(|at| now.saturating_duration_since(at) < CONTACT_LOST);
         let loaded = self.replica.lock().loaded;
-        let alone = !self.settings.known.is_empty() && self.peer_contacts.lock().we_alone(now);
-        (loaded && !failing) || !(peer_fine || alone)
+        let has_peers = !self.settings.known.is_empty();
+        self.links.fit_for_requests(loaded, has_peers, now)
     }
 
     /// A cancellation is on record: what runs of the job is stopped at once where we answer for
@@ -260,7 +255,7 @@
                     *self.operator.lock() = settings;
                 }
                 ReplicaChange::Misdirected(member, count) => {
-                    self.misdirected_reports.lock().counted(member, *count, now);
+                    self.links.misdirected_counted(member, *count, now);
                 }
                 ReplicaChange::Job(id) => {
                     jobs = true;
--- a/src/service/reports.rs
+++ b/src/service/reports.rs
@@ -65,7 +65,10 @@
 fn starts_allowed(shared: &Shared, term: Term, now: Instant) -> Option<bool> {
     let role = shared.role.lock();
     match role.standing(now) {
-        Standing::Lead(lead) if lead.term == term => Some(role.starting(now).is_some()),
+        Standing::Lead(lead) if lead.term == term => {
+            let refused = shared.links.placement_refusal().is_some();
+            Some(!refused && role.starting(now).is_some())
+        }
         Standing::KeepAlive(own) if own == term => Some(false),
         _ => None,
     }
--- a/src/sockets.rs
+++ b/src/sockets.rs
@@ -21,7 +21,9 @@
 /// Connections to each other node: a digest and a question, and former ones.
 const TO_EACH_PEER: usize = 3;
 /// Connections from each other node: the same, and batches of reports with former ones.
-const FROM_EACH_PEER: usize = TO_EACH_PEER + TO_LEADER;
+const FROM_EACH_PEER: usize = TO_EACH_PEER + TO_LEADER + ROWS_EACH_PEER;
+/// Connections to and from each other node for rows: one, and one given up.
+const ROWS_EACH_PEER: usize = 2;
 /// Connections on which reports are forwarded: batches under way and former ones.
 const TO_LEADER: usize = 2 * BATCHES_IN_FLIGHT;
 /// Connections of operators.
@@ -72,6 +74,8 @@
     pub election: usize,
     /// Connections to the leader for forwarded reports.
     pub forwarding: usize,
+    /// Connections to the other nodes for rows of the connectivity matrix.
+    pub rows: usize,
     /// Direct commands under way at once.
     pub direct: usize,
     /// How long an idle public connection stays open.
@@ -87,7 +91,8 @@
         let peers_in = OPERATORS + FROM_EACH_PEER * peers;
         let own = TO_CLOUD + TO_EACH_PEER * peers;
         let direct = part(DIRECT_PART, all);
-        let others = peers_in + own + TO_LEADER + TO_STORE + direct + part(SPARE_PART, all);
+        let rows = (ROWS_EACH_PEER * peers).max(1);
+        let others = peers_in + own + rows + TO_LEADER + TO_STORE + direct + part(SPARE_PART, all);
         let public = all.saturating_sub(others).max(part(PUBLIC_PART_MIN, all));
         let report = secs(settings.params.workers.report_s);
         Self {
@@ -102,6 +107,7 @@
             store: TO_STORE - TO_ELECTION,
             election: TO_ELECTION,
             forwarding: TO_LEADER,
+            rows,
             direct,
             idle: report.mul_f64(IDLE_REPORTS).max(IDLE_LEAST),
         }
--- a/src/store/actor.rs
+++ b/src/store/actor.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use actix::prelude::*;
+use knotlanding_links::table::StoreOperation;
 use tokio::sync::{oneshot, Notify};
 use tracing::debug;
 
@@ -270,10 +271,15 @@
     }
 
     /// Notes whether a request sent then was answered.
-    pub(super) fn note(&self, sent: Instant, failure: Option<&StoreError>) {
+    pub(super) fn note(
+        &self,
+        operation: StoreOperation,
+        sent: Instant,
+        failure: Option<&StoreError>,
+    ) {
         match failure {
-            Some(error) if error.contact_lost() => self.shared.store_failed(),
-            _ => self.shared.store_answered(sent),
+            Some(error) if error.contact_lost() => self.shared.store_failed(operation, sent),
+            _ => self.shared.store_answered(operation, sent),
         }
     }
 }
@@ -327,7 +333,7 @@
         }
         let sent = Instant::now();
         let outcome = inner.client.transact(&all).await;
-        inner.note(sent, outcome.failure());
+        inner.note(StoreOperation::Write, sent, outcome.failure());
         match outcome {
             Outcome::Conflict { failed, revision } => {
                 let (fallen, left): (Vec<_>, Vec<_>) = batch.into_iter().partition(|waiting| {
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -22,6 +22,7 @@
 const ROSTER: &str = "kl/roster/";
 const SENT: &str = "kl/sent/";
 const MISDIRECTED: &str = "kl/knocks/";
+const PROBE: &str = "kl/probe/";
 
 /// The verdict on a job, kept for ever, and its description while any task of it can be anywhere.
 pub fn job(id: &JobId) -> String {
@@ -194,3 +195,15 @@
     /// The machines.
     pub machines: Vec<String>,
 }
+
+/// A write of no consequence, by which a leader whose transactions failed sees that they succeed again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeRecord {
+    /// Counts the probes of a process.
+    pub count: u64,
+}
+
+/// Key of a node's probes. Nobody reads it.
+pub fn probe(member: &str) -> String {
+    format!("{PROBE}{member}")
+}
--- a/src/store/reads.rs
+++ b/src/store/reads.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::{select, Either};
+use knotlanding_links::table::StoreOperation;
 use tokio::sync::oneshot;
 use tracing::{debug, info};
 
@@ -115,7 +116,7 @@
                 match &got {
                     // In an outage watches stay open; only a read shows it.
                     Err(StoreError::Unknown) => {}
-                    got => inner.note(sent, got.as_ref().err()),
+                    got => inner.note(StoreOperation::Read, sent, got.as_ref().err()),
                 }
                 apply_read(inner, &got?, sent);
                 return Ok(WATCH_INTERVAL);
@@ -138,7 +139,7 @@
     let sent = Instant::now();
     let limit = READ_LIMIT.mul_f64(inner.slowness);
     let got = follow(inner, Duration::ZERO, limit).await;
-    inner.note(sent, got.as_ref().err());
+    inner.note(StoreOperation::Read, sent, got.as_ref().err());
     let got = match got {
         Ok(got) => got,
         Err(error) => {
@@ -185,7 +186,7 @@
         inner.wait_for_limit(1.0, 0.0).await;
         let sent = Instant::now();
         let outcome = inner.client.transact(&group).await;
-        inner.note(sent, outcome.failure());
+        inner.note(StoreOperation::Read, sent, outcome.failure());
         let there = match outcome {
             Outcome::Committed(_) => Ok(Vec::new()),
             Outcome::Conflict { failed, .. } => Ok(failed),
@@ -207,7 +208,7 @@
     inner.wait_for_limit(1.0, 0.0).await;
     let sent = Instant::now();
     let read = inner.client.get(&keys::job(id)).await;
-    inner.note(sent, read.as_ref().err());
+    inner.note(StoreOperation::Read, sent, read.as_ref().err());
     let Some(row) = read? else {
         return Ok(None);
     };
@@ -239,7 +240,7 @@
 async fn load(inner: &Rc<Inner>) -> Result<Duration, StoreError> {
     let sent = Instant::now();
     let read = read_all(inner).await;
-    inner.note(sent, read.as_ref().err());
+    inner.note(StoreOperation::Read, sent, read.as_ref().err());
     let (rows, revision) = read?;
     info!(keys = rows.len(), revision, "records read");
     let changes = inner.shared.replica.lock().load(rows, revision);
