crates/testbed: processes between proxies, seeded cuts, checker of histories

Change: the stand-ins move from tests/common to a package for development only; workers have leases, sessions, tokens and take direct commands, the state service and users write a history, proxies hold, lose, refuse, delay or throttle each direction of a link, schedules are drawn from seeds. The checker counts duplicate starts, starts without a valid lease, starts while nothing can be written, tasks after a confirmed cancellation, and wrong or missing answers; each is tested with a wrong history.

--- a/tests/common/standins.rs
+++ b/crates/testbed/src/state_service.rs
@@ -1,70 +1,19 @@
-//! Stand-ins for the systems outside, met through their protocols on loopback: the state
-//! service, the cloud, and workers.
-
-// Each test binary uses a part of it.
-#![allow(dead_code)]
+//! A stand-in for the state service.
 
 use std::collections::BTreeMap;
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
+use actix_web::{web, App, HttpResponse, HttpServer};
 use ciborium::{cbor, Value};
 use tokio::sync::Notify;
 
-pub fn encode(value: &Value) -> Vec<u8> {
-    let mut out = Vec::new();
-    ciborium::into_writer(value, &mut out).unwrap();
-    out
-}
-
-pub fn decode(bytes: &[u8]) -> Value {
-    ciborium::from_reader(bytes).unwrap_or(Value::Null)
-}
-
-/// A field of a map.
-pub fn field<'a>(value: &'a Value, name: &str) -> Option<&'a Value> {
-    let map = value.as_map()?;
-    let found = map.iter().find(|(key, _)| key.as_text() == Some(name));
-    found.map(|(_, value)| value)
-}
-
-pub fn number(value: &Value, name: &str) -> u64 {
-    let integer = field(value, name).and_then(Value::as_integer);
-    integer.and_then(|i| u64::try_from(i).ok()).unwrap_or(0)
-}
-
-pub fn text(value: &Value, name: &str) -> String {
-    let text = field(value, name).and_then(Value::as_text);
-    text.unwrap_or_default().to_owned()
-}
-
-fn answer(status: u16, value: &Value) -> HttpResponse {
-    let status = actix_web::http::StatusCode::from_u16(status).unwrap();
-    HttpResponse::build(status)
-        .content_type("application/cbor")
-        .body(encode(value))
-}
+use crate::history::{Event, History};
+use crate::message::{answer, decode, field, number, text};
 
-/// Loopback addresses given out by this process.
-static ADDRESSES: AtomicUsize = AtomicUsize::new(0);
-
-/// An address nobody listens on, with a loopback IP number of its own. A port of 127.0.0.1 was taken by
-/// another test's connection before the program came to use it: "Address already in use".
-pub fn free_address() -> String {
-    let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id() as usize;
-    let ip = format!(
-        "127.{}.{}.{}",
-        1 + process % 250,
-        number / 250,
-        1 + number % 250
-    );
-    let listener = TcpListener::bind((ip.as_str(), 0)).unwrap();
-    listener.local_addr().unwrap().to_string()
-}
+/// Key of the leader's record, whose lease is part of the history.
+const LEADER_KEY: &str = "kl/leader";
 
 #[derive(Default)]
 struct Kept {
@@ -77,6 +26,8 @@
     /// Changes up to this one are not kept.
     forgotten: u64,
     out: bool,
+    writes_fail: bool,
+    history: History,
 }
 
 impl Kept {
@@ -109,7 +60,11 @@
     }
 
     fn drop_key(&mut self, key: &str) {
-        if self.keys.remove(key).is_some() {
+        if let Some((value, _, _)) = self.keys.remove(key) {
+            if key == LEADER_KEY {
+                let term = number(&value, "term");
+                self.history.add(Event::LeadEnded { term });
+            }
             let event = cbor!({"drop" => key, "stamp" => self.epoch}).unwrap();
             self.changes.push((self.epoch, event, key.to_owned()));
         }
@@ -124,6 +79,22 @@
 }
 
 impl State {
+    /// One whose leases are part of a history.
+    pub fn recording(history: History) -> Self {
+        let state = Self::default();
+        state.kept.lock().unwrap().history = history;
+        state
+    }
+
+    /// Transactions with changes are refused, or no longer. Reads and leases are served all the while.
+    pub fn set_writes_fail(&self, fail: bool) {
+        let mut kept = self.kept.lock().unwrap();
+        if kept.writes_fail != fail {
+            kept.writes_fail = fail;
+            kept.history.add(Event::WritesRefused(fail));
+        }
+    }
+
     /// Starts one on the running system; its address.
     pub fn start(&self) -> String {
         let state = web::Data::new(self.clone());
@@ -281,6 +252,9 @@
         return answer(409, &conflict);
     }
     if !list("apply").is_empty() {
+        if kept.writes_fail {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
         kept.epoch += 1;
     }
     let epoch = kept.epoch;
@@ -291,6 +265,10 @@
         }
         let key = text(change, "set");
         let value = field(change, "v").cloned().unwrap_or(Value::Null);
+        if key == LEADER_KEY {
+            let (term, member) = (number(&value, "term"), text(&value, "member"));
+            kept.history.add(Event::LeadBegan { term, member });
+        }
         let event = cbor!({"set" => key, "v" => value, "stamp" => epoch}).unwrap();
         kept.changes.push((epoch, event, key.clone()));
         kept.keys
@@ -374,174 +352,3 @@
         let _ = tokio::time::timeout(Duration::from_millis(100), woken).await;
     }
 }
-
-/// The cloud, and the workers of the machines it rents.
-#[derive(Clone, Default)]
-pub struct Cloud {
-    machines: Arc<Mutex<BTreeMap<String, String>>>,
-    /// Where each task is, and how often one was started while it was on another machine.
-    places: Arc<Mutex<BTreeMap<String, String>>>,
-    twice: Arc<AtomicUsize>,
-    nodes: Arc<Mutex<Vec<String>>>,
-}
-
-impl Cloud {
-    /// Starts one on the running system; its address. Its workers report to `nodes`.
-    pub fn start(&self, nodes: Vec<String>) -> String {
-        *self.nodes.lock().unwrap() = nodes;
-        let cloud = web::Data::new(self.clone());
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap().to_string();
-        let server = HttpServer::new(move || {
-            App::new()
-                .app_data(cloud.clone())
-                .route("/flavors", web::get().to(flavors))
-                .route("/machines", web::get().to(machines))
-                .route("/machines", web::post().to(hire))
-                .route("/machines/return", web::post().to(give_back))
-        });
-        let server = server.workers(1).disable_signals();
-        actix::spawn(server.listen(listener).unwrap().run());
-        address
-    }
-
-    /// How often a task was started on one machine while it was on another.
-    pub fn ran_twice(&self) -> usize {
-        self.twice.load(Ordering::Relaxed)
-    }
-
-    fn starts(&self, task: &str, machine: &str) {
-        let mut places = self.places.lock().unwrap();
-        let before = places.insert(task.to_owned(), machine.to_owned());
-        if before.is_some_and(|before| before != machine) {
-            self.twice.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-
-    fn leaves(&self, task: &str, machine: &str) {
-        let mut places = self.places.lock().unwrap();
-        if places.get(task).is_some_and(|at| at == machine) {
-            places.remove(task);
-        }
-    }
-
-    /// Number of machines up.
-    pub fn count(&self) -> usize {
-        self.machines.lock().unwrap().len()
-    }
-}
-
-async fn flavors() -> HttpResponse {
-    let build = cbor!({
-        "name" => "cpu16", "cores" => 16, "cards" => 0, "ramGb" => 64.0, "localGb" => 50,
-        "pullGbPerS" => 1.0, "rate" => 0.9, "marketPrice" => 0.3, "bootS" => 1,
-        "yards" => ["north", "south"]
-    });
-    answer(200, &cbor!({"builds" => [build.unwrap()]}).unwrap())
-}
-
-async fn machines(cloud: web::Data<Cloud>, _: HttpRequest) -> HttpResponse {
-    let hosts: Vec<Value> = cloud
-        .machines
-        .lock()
-        .unwrap()
-        .iter()
-        .map(|(id, zone)| {
-            cbor!({
-                "nameId" => id, "address" => "", "build" => "cpu16", "yard" => zone,
-                "loaners" => false, "status" => "running", "heldS" => 1.0
-            })
-            .unwrap()
-        })
-        .collect();
-    answer(200, &cbor!({"hosts" => hosts, "more" => false}).unwrap())
-}
-
-async fn hire(cloud: web::Data<Cloud>, body: web::Bytes) -> HttpResponse {
-    let body = decode(&body);
-    let zone = text(&body, "yard");
-    let mut names = Vec::new();
-    for _ in 0..number(&body, "number") {
-        let mut machines = cloud.machines.lock().unwrap();
-        let name = format!("m-{:06}", machines.len() + 1);
-        machines.insert(name.clone(), zone.clone());
-        actix::spawn(work(cloud.get_ref().clone(), name.clone(), zone.clone()));
-        names.push(name);
-    }
-    answer(200, &cbor!({"hosts" => names}).unwrap())
-}
-
-async fn give_back(cloud: web::Data<Cloud>, body: web::Bytes) -> HttpResponse {
-    let body = decode(&body);
-    if let Some(Value::Array(names)) = field(&body, "hosts") {
-        for name in names.iter().filter_map(Value::as_text) {
-            cloud.machines.lock().unwrap().remove(name);
-            let mut places = cloud.places.lock().unwrap();
-            places.retain(|_, machine| machine != name);
-        }
-    }
-    answer(200, &cbor!({}).unwrap())
-}
-
-/// A worker whose tasks complete by the second report after their start. Tasks of jobs with
-/// more than fifty processes of work never end by themselves: none are used here.
-async fn work(cloud: Cloud, name: String, zone: String) {
-    let http = awc::Client::builder()
-        .timeout(Duration::from_secs(4))
-        .finish();
-    let (mut tally, mut baton, mut node) = (0u64, 0u64, 0usize);
-    let mut tasks: Vec<(String, u64, u32)> = Vec::new();
-    while cloud.machines.lock().unwrap().contains_key(&name) {
-        tokio::time::sleep(Duration::from_millis(100)).await;
-        tally += 1;
-        let list: Vec<Value> = tasks
-            .iter_mut()
-            .map(|(task, attempt, reports)| {
-                *reports += 1;
-                if *reports > 3 {
-                    cloud.leaves(task, &name);
-                    cbor!({"strand" => *task, "try" => *attempt, "status" => "exited",
-                        "cause" => "done"})
-                    .unwrap()
-                } else {
-                    cbor!({"strand" => *task, "try" => *attempt, "status" => "running"}).unwrap()
-                }
-            })
-            .collect();
-        let report = cbor!({
-            "host" => name, "address" => "127.0.0.1:1", "build" => "cpu16", "yard" => zone,
-            "loaners" => false, "tenure" => 1, "tally" => tally, "baton" => baton,
-            "recallS" => null, "strands" => list
-        });
-        let nodes = cloud.nodes.lock().unwrap().clone();
-        let url = format!("http://{}/hello", nodes[node % nodes.len()]);
-        let sent = http.post(url).send_body(encode(&report.unwrap())).await;
-        let Ok(mut got) = sent else {
-            node += 1;
-            continue;
-        };
-        let body = got.body().await.map(|b| decode(&b)).unwrap_or(Value::Null);
-        if got.status() != 200 || number(&body, "baton") < baton {
-            continue;
-        }
-        baton = number(&body, "baton");
-        let Some(Value::Array(orders)) = field(&body, "orders") else {
-            continue;
-        };
-        for order in orders {
-            let (task, attempt) = (text(order, "strand"), number(order, "try"));
-            let known = tasks.iter().any(|t| t.0 == task && t.1 == attempt);
-            match text(order, "verb").as_str() {
-                "run" if !known => {
-                    cloud.starts(&task, &name);
-                    tasks.push((task, attempt, 0));
-                }
-                "clear" | "kill" => {
-                    cloud.leaves(&task, &name);
-                    tasks.retain(|t| t.0 != task || t.1 != attempt);
-                }
-                _ => {}
-            }
-        }
-    }
-}
--- a/tests/common/node.rs
+++ b/tests/common/node.rs
@@ -9,7 +9,9 @@
 use ciborium::{cbor, Value};
 
 use crate::common;
-use crate::standins::{decode, encode, free_address, text, Cloud, State};
+use knotlanding_testbed::cloud::Cloud;
+use knotlanding_testbed::message::{decode, encode, free_address, text};
+use knotlanding_testbed::state_service::State;
 
 pub const PROGRAM: &str = env!("CARGO_BIN_EXE_knotlanding");
 /// Long enough for any machine; nothing here measures time.
--- a/tests/forwarding_service.rs
+++ b/tests/forwarding_service.rs
@@ -7,8 +7,6 @@
 mod common;
 #[path = "common/node.rs"]
 mod node;
-#[path = "common/standins.rs"]
-mod standins;
 
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
@@ -23,8 +21,8 @@
 };
 use knotlanding::peer::{decode, encode as encode_for_peer};
 use knotlanding::wire::Report;
+use knotlanding_testbed::message::{encode, field, number, text};
 use node::{Bench, Node, TEST_TIMEOUT};
-use standins::{encode, field, number, text};
 
 const LEADER_TERM: u64 = 3;
 
--- a/tests/service.rs
+++ b/tests/service.rs
@@ -6,8 +6,6 @@
 mod common;
 #[path = "common/node.rs"]
 mod node;
-#[path = "common/standins.rs"]
-mod standins;
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -19,8 +17,8 @@
 use knotlanding::config::Settings;
 use knotlanding::sockets::Sockets;
 use knotlanding::store::client::answer_bytes_max;
+use knotlanding_testbed::message::{encode, number, text};
 use node::{job, with, without, Bench, Node, PROGRAM, TEST_TIMEOUT};
-use standins::{encode, number, text};
 
 #[actix_web::test]
 async fn jobs_run_to_their_end_and_stay_done_through_a_crash() {
