--- a/src/actors/links.rs
+++ b/src/actors/links.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use actix::prelude::*;
 use actix_web::web::Bytes;
@@ -85,7 +85,7 @@
         if self.peers.is_empty() {
             return;
         }
-        let row = active.next_row(leads.map(|lead| lead.term.0), now);
+        let row = active.next_row(leads.map(|lead| lead.term.0), now, SystemTime::now());
         let Some(body) = peer::encode(&row.to_message()).map(Bytes::from) else {
             return;
         };
--- a/src/service/links.rs
+++ b/src/service/links.rs
@@ -290,11 +290,11 @@
     }
 
     /// The row of this controller as it is now, numbered for sending.
-    pub fn next_row(&self, leads_term: Option<u64>, now: Instant) -> Row {
+    pub fn next_row(&self, leads_term: Option<u64>, now: Instant, wall: SystemTime) -> Row {
         let stamp = RowStamp {
             life: self.life.load(Ordering::Relaxed),
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
-            wall_ms: unix_ms(SystemTime::now()),
+            wall_ms: unix_ms(wall),
             leads_term,
         };
         self.table.lock().row(stamp, now)
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -18,6 +18,8 @@
 mod forwarding;
 #[path = "world/invariants.rs"]
 mod invariants;
+#[path = "world/links.rs"]
+mod links;
 #[path = "world/state_service.rs"]
 mod state_service;
 #[path = "world/users.rs"]
@@ -55,6 +57,8 @@
 pub use faults::{trouble, Fault, Trouble};
 pub use forwarding::BatchTrouble;
 use forwarding::Forwarded;
+pub use links::CutLink;
+use links::{NodeLinks, RowAnswer};
 use state_service::{RequestPurpose, Store, StoreRequest, StoreResponse};
 use users::Wanted;
 use workers::{on_machine, task_parts, Task, Worker};
@@ -86,6 +90,12 @@
     cancel_at_end: (f64, f64),
     batch_trouble: (BatchTrouble, f64),
     cut_follower: Option<(usize, f64)>,
+    /// Links are turned on at every node.
+    links_on: bool,
+    cut_links: Vec<CutLink>,
+    writes_fail_until: f64,
+    /// Leads that were handed over by what the matrix said.
+    pub handovers: usize,
     /// Batches that followers sent.
     pub batches_sent: usize,
     /// Batches that were refused for their age.
@@ -119,6 +129,11 @@
 
 impl World {
     pub fn new(seed: u64, text: &str) -> Self {
+        Self::with_links(seed, text, false)
+    }
+
+    /// The same with links turned on, or not.
+    pub fn with_links(seed: u64, text: &str, links_on: bool) -> Self {
         let settings = Settings::parse(text, "a test").unwrap();
         let start = Instant::now();
         let mut world = Self {
@@ -137,6 +152,10 @@
             cancel_at_end: (0.0, 0.0),
             batch_trouble: (BatchTrouble::default(), 0.0),
             cut_follower: None,
+            links_on,
+            cut_links: Vec::new(),
+            writes_fail_until: 0.0,
+            handovers: 0,
             batches_sent: 0,
             stale_batches: 0,
             passed_on: 0,
@@ -184,6 +203,24 @@
         crate::scene::wall() + Duration::from_secs_f64(self.t)
     }
 
+    /// The time of day by a node's own clock: they differ by the bound in the settings.
+    fn wall_of(&self, n: usize) -> SystemTime {
+        let off = Duration::from_secs_f64(self.settings.params.clock_off_ms / 1_000.0);
+        match n {
+            0 => self.wall() - off,
+            1 => self.wall(),
+            _ => self.wall() + off,
+        }
+    }
+
+    /// How long the gates of the present processes have refused placements, in seconds.
+    pub fn gates_refused_s(&self) -> f64 {
+        let now = self.instant();
+        let active = self.nodes.iter().filter_map(|n| n.shared.links.active());
+        let refused = active.map(|links| links.table.lock().gate_refused_for(now));
+        refused.sum::<Duration>().as_secs_f64()
+    }
+
     fn timing(&self) -> WorkerSettings {
         self.settings.params.workers.clone()
     }
--- a/tests/common/world/faults.rs
+++ b/tests/common/world/faults.rs
@@ -1,5 +1,8 @@
 //! What can go wrong, and how it begins.
 
+use knotlanding_testbed::proxy::LinkMode;
+use knotlanding_testbed::schedule::LinkId;
+
 use super::*;
 
 /// What can go wrong.
@@ -41,6 +44,12 @@
     CancelAtEnd(f64),
     /// Batches of forwarded reports are lost, held or doubled.
     Batches(BatchTrouble),
+    /// A link is so meanwhile.
+    Link(LinkId, LinkMode),
+    /// A controller ends, and is back at once.
+    Restart(usize),
+    /// Transactions are refused; reads and leases are served.
+    WritesFail,
     /// A follower can't reach the leader; its workers and the state service reach both.
     CutFollower,
 }
@@ -118,6 +127,12 @@
                 let follower = (0..3).find(|n| Some(*n) != leader);
                 self.cut_follower = follower.map(|n| (n, until));
             }
+            Fault::Link(link, mode) => self.cut_links.push(CutLink { link, mode, until }),
+            Fault::Restart(n) => {
+                self.nodes[n].up = false;
+                self.nodes[n].back_at = self.t + 0.2;
+            }
+            Fault::WritesFail => self.writes_fail_until = until,
             Fault::CutFromWorkers => self.cut = self.leader().map(|n| (n, until)),
             Fault::CancelNow(count) => self.cancel_some(count),
             Fault::CancelAtEnd(share) => {
