A follower counts as better connected only with proof that it can write

Cause: with transactions refused to everybody, the leader's row said that it can't write, the followers' said nothing against them since they rarely write, and the lead went to one that could not be elected.

Change: to take the lead from one without the state service a controller has to have read and written there lately; followers write a probe while a leader's row says that it lacks the service. All hand-overs count against their limit. Counts of rows, gate and hand-overs in admin metrics.

--- a/crates/links/src/leadership.rs
+++ b/crates/links/src/leadership.rs
@@ -20,8 +20,10 @@
 /// How well connected a controller is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct Connectivity {
-    /// It can read and write at the state service.
+    /// It has the state service, as far as it knows.
     pub store: bool,
+    /// It has read and written there lately.
+    pub store_proven: bool,
     /// Workers whose reports it gets, or would get if it led.
     pub workers: u64,
 }
@@ -34,8 +36,8 @@
             return false;
         }
         if !other.store {
-            // Without workers it would only lose the lead again.
-            return self.workers > 0 || other.workers == 0;
+            // Without workers it would only lose the lead again; without proof, so might the election be.
+            return self.store_proven && (self.workers > 0 || other.workers == 0);
         }
         self.workers as f64 > other.workers as f64 * WORKERS_FACTOR
     }
@@ -105,7 +107,7 @@
         if now.saturating_duration_since(since) < self.hold {
             return Decision::StayHolding { candidate };
         }
-        if self.too_many(now) {
+        if self.exhausted(now) {
             return Decision::StayLimited { candidate };
         }
         Decision::HandOver {
@@ -126,7 +128,8 @@
         self.better_since = None;
     }
 
-    fn too_many(&mut self, now: Instant) -> bool {
+    /// Whether the lead was handed over so often lately that it stays, whatever the reason.
+    pub fn exhausted(&mut self, now: Instant) -> bool {
         while let Some(first) = self.handovers.front() {
             if now.saturating_duration_since(*first) < self.window {
                 break;
@@ -148,6 +151,7 @@
     let workers = matrix.workers_served_by(&row.message.member, own, now);
     Connectivity {
         store: row.store_usable(),
+        store_proven: row.store_proven(matrix.evidence_age_max()),
         workers: workers.len(),
     }
 }
--- a/crates/links/src/leadership/tests.rs
+++ b/crates/links/src/leadership/tests.rs
@@ -32,6 +32,7 @@
 #[derive(Clone, Copy)]
 struct Links {
     store: [bool; 3],
+    writes: [bool; 3],
     /// `peers[a][b]`: requests of `a` arrive at `b`; an answer takes the other way.
     peers: [[bool; 3]; 3],
     workers: [bool; 3],
@@ -39,6 +40,7 @@
 
 const ALL: Links = Links {
     store: [true; 3],
+    writes: [true; 3],
     peers: [[true; 3]; 3],
     workers: [true; 3],
 };
@@ -90,7 +92,7 @@
             life: 1,
             sequence: self.second,
             wall_ms: WALL_MS + self.second * 1_000,
-            leads_term: None,
+            leads_term: (at == self.leader).then_some(1),
         };
         self.controllers[at].table.row(stamp, self.now())
     }
@@ -103,9 +105,18 @@
             if controller.frozen {
                 continue;
             }
-            for operation in [StoreOperation::Read, StoreOperation::Write] {
-                for _ in 0..2 {
-                    controller.table.store(operation, now, links.store[at], now);
+            // Two requests each; a follower writes only if the leader lacks the state service.
+            let writes = at == self.leader || controller.matrix.leader_lacks_store(now);
+            for _ in 0..2 {
+                let works = links.store[at];
+                controller
+                    .table
+                    .store(StoreOperation::Read, now, works, now);
+                if writes {
+                    let works = works && links.writes[at];
+                    controller
+                        .table
+                        .store(StoreOperation::Write, now, works, now);
                 }
             }
             if links.workers[at] && self.second.is_multiple_of(3) {
@@ -204,6 +215,26 @@
     assert_eq!(cluster.handovers, vec![]);
 }
 
+/// Seen with real processes: the followers had not written, nothing spoke against them, and the lead went
+/// to one that could not be elected.
+#[test]
+fn where_transactions_are_refused_to_all_nobody_moves() {
+    let mut cluster = spread();
+    let unwritable = Links {
+        writes: [false; 3],
+        ..ALL
+    };
+    cluster.seconds(120, |_| unwritable);
+    assert_eq!(cluster.handovers, vec![]);
+    let leader_alone = Links {
+        writes: [false, true, true],
+        ..ALL
+    };
+    cluster.seconds(60, |_| ALL);
+    cluster.seconds(60, |_| leader_alone);
+    assert_eq!(cluster.handovers.len(), 1, "{:?}", cluster.handovers);
+}
+
 /// Followers forward reports, so a leader without workers of its own is not cut off from any.
 #[test]
 fn a_leader_that_lost_its_own_workers_stays_while_followers_reach_it() {
@@ -361,7 +392,17 @@
 
 #[test]
 fn much_better_is_the_state_service_with_workers_or_twice_the_workers() {
-    let connected = |store, workers| Connectivity { store, workers };
+    let connected = |store, workers| Connectivity {
+        store,
+        store_proven: store,
+        workers,
+    };
+    let unproven = Connectivity {
+        store_proven: false,
+        ..connected(true, 100)
+    };
+    assert!(!unproven.much_better_than(&connected(false, 100)));
+    assert!(unproven.much_better_than(&connected(true, 10)));
     let cases = [
         (connected(true, 10), connected(false, 100), true),
         (connected(true, 0), connected(false, 100), false),
--- a/crates/links/src/matrix.rs
+++ b/crates/links/src/matrix.rs
@@ -88,6 +88,20 @@
         })
     }
 
+    /// Whether a controller that leads says that it lacks the state service. The others then try whether
+    /// they have it, which their rows tell.
+    pub fn leader_lacks_store(&self, now: Instant) -> bool {
+        let mut leads = self
+            .rows(now)
+            .filter(|(_, row, _)| row.message.leads_term.is_some());
+        leads.any(|(_, row, _)| !row.store_usable())
+    }
+
+    /// How old evidence in a row may be.
+    pub fn evidence_age_max(&self) -> Duration {
+        self.timing.row_lifetime()
+    }
+
     /// The other controllers, whether their rows are known or not.
     pub fn members(&self) -> impl Iterator<Item = &str> {
         self.rows.keys().map(String::as_str)
--- a/crates/links/src/row.rs
+++ b/crates/links/src/row.rs
@@ -1,5 +1,7 @@
 //! A row of the connectivity matrix: what one controller tells the others of its links.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -146,6 +148,14 @@
         self.message.store_read.usable() && !self.message.store_write.counts_as_down()
     }
 
+    /// Whether the sender can read, and has written at most so long before it sent the row. Without it a
+    /// leader whose transactions are refused would hand over to a follower that has not tried.
+    pub fn store_proven(&self, age_max: Duration) -> bool {
+        let write = &self.message.store_write;
+        let age = write.evidence_age_ms.map(Duration::from_millis);
+        self.message.store_read.usable() && write.usable() && age.is_some_and(|age| age <= age_max)
+    }
+
     /// Whether requests of the sender reach `member` and are answered.
     pub fn reaches(&self, member: &str) -> bool {
         let links = self.message.peers.iter().find(|l| l.member == member);
--- /dev/null
+++ b/examples/row_cost.rs
@@ -0,0 +1,105 @@
+//! What the rows of the connectivity matrix cost a controller, natively: `cargo run --release --example
+//! row_cost -- 4000 7` for 4,000 workers and seven controllers.
+
+// A measurement that can't go on ends with its reason.
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use std::time::{Duration, Instant, SystemTime};
+
+use knotlanding::config::{Peer, Settings};
+use knotlanding::features::{Features, LinkFeatures};
+use knotlanding::peer::links::take_bytes;
+use knotlanding::service::Shared;
+use knotlanding::wire::Report;
+
+/// Rows of each controller that are measured.
+const ROWS: u32 = 200;
+
+fn shared(member: usize, count: usize) -> std::sync::Arc<Shared> {
+    let text = include_str!("../deploy/example.toml");
+    let mut settings = Settings::parse(text, "example").unwrap();
+    settings.member = format!("knot-{member}");
+    let others = (0..count).filter(|other| *other != member);
+    settings.known = others
+        .map(|other| Peer {
+            member: format!("knot-{other}"),
+            area: String::new(),
+            peer_addr: "127.0.0.1:1".parse().unwrap(),
+        })
+        .collect();
+    let links = Some(LinkFeatures::default());
+    Shared::with_features(settings, Features { links })
+}
+
+fn report(number: usize, seq: u64) -> Report {
+    Report {
+        machine: format!("m-{number:06}"),
+        address: String::new(),
+        build: String::new(),
+        zone: String::new(),
+        spot: false,
+        session: 1,
+        seq,
+        token: 0,
+        notice_s: None,
+        tasks: Vec::new(),
+    }
+}
+
+fn main() {
+    let mut arguments = std::env::args()
+        .skip(1)
+        .map(|a| a.parse::<usize>().unwrap());
+    let workers = arguments.next().unwrap_or(4_000);
+    let count = arguments.next().unwrap_or(7);
+    let controllers: Vec<_> = (0..count).map(|member| shared(member, count)).collect();
+    let start = Instant::now();
+    let began = Instant::now();
+    for seq in 1..=2 {
+        let at = start + Duration::from_secs(3 * seq);
+        for number in 0..workers {
+            let links = &controllers[number % count].links;
+            links.worker_reported(&report(number, seq), at);
+            links.worker_answered(&format!("m-{number:06}"));
+        }
+    }
+    let per_report = began.elapsed() / (2 * workers as u32);
+    let now = start + Duration::from_secs(7);
+    let (mut made, mut taken, mut bytes) = (Duration::ZERO, Duration::ZERO, 0);
+    for _ in 0..ROWS {
+        let began = Instant::now();
+        let active = controllers[0].links.active().unwrap();
+        active.evaluate(now);
+        let row = active.next_row(Some(1), now, SystemTime::now());
+        let encoded = knotlanding::peer::encode(&row.to_message()).unwrap();
+        made += began.elapsed();
+        bytes = encoded.len();
+        let began = Instant::now();
+        let receiver = controllers[1].links.active().unwrap();
+        take_bytes(receiver, &encoded, now, SystemTime::now()).unwrap();
+        taken += began.elapsed();
+    }
+    for sender in &controllers[1..] {
+        let row = sender
+            .links
+            .active()
+            .unwrap()
+            .next_row(None, now, SystemTime::now());
+        let encoded = knotlanding::peer::encode(&row.to_message()).unwrap();
+        let receiver = controllers[0].links.active().unwrap();
+        take_bytes(receiver, &encoded, now, SystemTime::now()).unwrap();
+    }
+    let began = Instant::now();
+    for _ in 0..ROWS {
+        controllers[0].links.active().unwrap().decide_lead(now);
+    }
+    let decided = began.elapsed();
+    println!("{workers} workers, {count} controllers");
+    println!("a row: {bytes} bytes");
+    println!("evidence of a report: {per_report:?}");
+    println!("making a row: {:?}", made / ROWS);
+    println!("taking a row: {:?}", taken / ROWS);
+    println!("a decision on the lead: {:?}", decided / ROWS);
+    let second = made / ROWS + (taken / ROWS) * (count as u32 - 1) + decided / ROWS;
+    println!("a second of a leader: {second:?}");
+}
--- a/src/actors/leader.rs
+++ b/src/actors/leader.rs
@@ -191,6 +191,10 @@
         if self.late_at.get().is_some_and(late) {
             return false;
         }
+        let links = self.shared.links.active();
+        if links.is_some_and(|links| links.handovers_exhausted(now)) {
+            return false;
+        }
         let unread = self.unread(now);
         let elsewhere = self.workers_elsewhere(now);
         let outclassed = self.outclassed(now);
--- a/src/actors/links.rs
+++ b/src/actors/links.rs
@@ -79,7 +79,7 @@
         }
         active.evaluate(now);
         let leads = self.shared.role.lock().leading(now);
-        if leads.is_some() && active.table.lock().writes_fail() {
+        if active.wants_probe(leads.is_some(), now) {
             self.probe_writes();
         }
         if self.peers.is_empty() {
@@ -95,8 +95,8 @@
         }
     }
 
-    /// While transactions fail, no placement brings about another one: a write of no consequence shows
-    /// when they succeed again.
+    /// While transactions fail, no placement brings about another one, and followers rarely write: a write
+    /// of no consequence shows whether they succeed.
     fn probe_writes(&mut self) {
         self.probes += 1;
         let key = keys::probe(&self.shared.settings.member);
--- a/src/actors/metrics.rs
+++ b/src/actors/metrics.rs
@@ -7,7 +7,6 @@
 use actix::prelude::*;
 use tracing::{debug, enabled, Level};
 
-use crate::metrics::resident_bytes;
 use crate::service::Shared;
 
 /// Time between two entries.
@@ -25,8 +24,7 @@
     }
 
     fn log(&self) {
-        let mut view = self.shared.metrics.lock().view(Instant::now());
-        view.resident_bytes = resident_bytes();
+        let view = self.shared.metrics_view(Instant::now());
         match serde_json::to_string(&view) {
             Ok(metrics) => debug!(metrics, "metrics"),
             Err(error) => debug!(%error, "cannot encode the metrics"),
--- a/src/api/admin.rs
+++ b/src/api/admin.rs
@@ -15,7 +15,6 @@
 use super::RETRY_AFTER_S;
 use crate::cluster::{Cluster, Job, Machine};
 use crate::leader::Standing;
-use crate::metrics::resident_bytes;
 use crate::model::{JobId, MachineId};
 use crate::service::operator::OperatorSettings;
 use crate::service::Shared;
@@ -235,9 +234,7 @@
 /// `GET /admin/metrics`
 pub async fn metrics(shared: web::Data<Shared>) -> HttpResponse {
     let now = Instant::now();
-    let mut view = shared.metrics.lock().view(now);
-    view.resident_bytes = resident_bytes();
-    HttpResponse::Ok().json(view)
+    HttpResponse::Ok().json(shared.metrics_view(now))
 }
 
 /// `GET /admin/settings`
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -209,6 +209,7 @@
             requests: self.requests.clone(),
             digests: self.digests.clone(),
             resident_bytes: None,
+            links: None,
         }
     }
 
@@ -248,6 +249,9 @@
     pub digests: DigestMetrics,
     /// Resident memory, where the system tells it.
     pub resident_bytes: Option<u64>,
+    /// Rows, gate and hand-overs, where links are turned on.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub links: Option<LinkMetrics>,
 }
 
 /// Where the system tells how much memory a process holds.
@@ -255,6 +259,21 @@
 /// Size of a page on the platforms that this runs on.
 const PAGE_BYTES: u64 = 4096;
 
+/// Counts of what hangs on the links.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct LinkMetrics {
+    /// Rows of other controllers taken.
+    pub rows_taken: u64,
+    /// Rows refused, as they were old, repeated or wrong.
+    pub rows_refused: u64,
+    /// Seconds for which the placement gate has refused.
+    pub gate_refused_s: f64,
+    /// Links suppressed now.
+    pub suppressed: usize,
+    /// Leads handed over.
+    pub handovers: u64,
+}
+
 /// Resident memory of this process in bytes; `None` where the system does not tell.
 pub fn resident_bytes() -> Option<u64> {
     let text = std::fs::read_to_string(STATM).ok()?;
--- a/src/service/links.rs
+++ b/src/service/links.rs
@@ -27,6 +27,7 @@
 use crate::config::{secs, Settings};
 use crate::features::LinkFeatures;
 use crate::leader::{lease_time, renew_every};
+use crate::metrics::LinkMetrics;
 use crate::peer::reports::unix_ms;
 use crate::wire::Report;
 
@@ -75,10 +76,11 @@
     snapshot: ArcSwap<LinkSnapshot>,
     life: AtomicU64,
     sequence: AtomicU64,
-    /// Rows taken and refused.
+    /// Rows taken.
     pub rows_taken: AtomicU64,
     /// Rows refused.
     pub rows_refused: AtomicU64,
+    handovers: AtomicU64,
 }
 
 /// The owner.
@@ -235,6 +237,7 @@
             sequence: AtomicU64::new(0),
             rows_taken: AtomicU64::new(0),
             rows_refused: AtomicU64::new(0),
+            handovers: AtomicU64::new(0),
         }
     }
 
@@ -338,6 +341,13 @@
         Ok(RowReply { newest_life })
     }
 
+    /// Whether a write of no consequence should show if transactions succeed: our own fail while we lead,
+    /// or the leader lacks the state service and asks for somebody who has it.
+    pub fn wants_probe(&self, leads: bool, now: Instant) -> bool {
+        let own_fail = self.table.lock().writes_fail();
+        (leads && own_fail) || self.matrix.lock().leader_lacks_store(now)
+    }
+
     /// Counts a refused row, and logs it once.
     pub fn refuse_row(&self, member: &str, why: RowRejection) {
         self.rows_refused.fetch_add(1, Ordering::Relaxed);
@@ -395,6 +405,27 @@
     /// The lead was handed over.
     pub fn handed_over(&self, now: Instant) {
         self.leadership.lock().handed_over(now);
+        self.handovers.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Whether the lead was handed over so often lately that it stays.
+    pub fn handovers_exhausted(&self, now: Instant) -> bool {
+        self.leadership.lock().exhausted(now)
+    }
+
+    /// Counts for operators.
+    pub fn metrics(&self, now: Instant) -> LinkMetrics {
+        let (refused_for, suppressed) = {
+            let table = self.table.lock();
+            (table.gate_refused_for(now), table.suppressed().len())
+        };
+        LinkMetrics {
+            rows_taken: self.rows_taken.load(Ordering::Relaxed),
+            rows_refused: self.rows_refused.load(Ordering::Relaxed),
+            gate_refused_s: refused_for.as_secs_f64(),
+            suppressed,
+            handovers: self.handovers.load(Ordering::Relaxed),
+        }
     }
 
     /// Whether an election should be left to a better connected controller for a moment.
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -20,7 +20,7 @@
 use crate::config::Settings;
 use crate::features::Features;
 use crate::leader::{Lead, Role};
-use crate::metrics::Metrics;
+use crate::metrics::{resident_bytes, Metrics, MetricsView};
 use crate::model::{JobId, MachineId};
 use crate::peer::digest::DigestView;
 use crate::peer::forwarding::{Forwarding, QueueLimits};
@@ -293,6 +293,14 @@
         }
     }
 
+    /// All figures of this process.
+    pub fn metrics_view(&self, now: Instant) -> MetricsView {
+        let mut view = self.metrics.lock().view(now);
+        view.resident_bytes = resident_bytes();
+        view.links = self.links.active().map(|links| links.metrics(now));
+        view
+    }
+
     /// Drops a machine that is gone for sure.
     pub fn machine_gone(&self, ids: &[MachineId]) {
         if let Some(cluster) = self.cluster.lock().as_mut() {
--- a/tests/common/world/delivery.rs
+++ b/tests/common/world/delivery.rs
@@ -81,18 +81,7 @@
                     self.batch_answered(n, id, answer);
                 }
             }
-            Mail::Row(to, bytes, from, life, sent) => {
-                let again = || Mail::Row(to, bytes.clone(), from, life, sent);
-                if self.at_node(to, None, again) {
-                    self.row_arrives(to, &bytes, (from, life, sent));
-                }
-            }
-            Mail::RowAnswered(n, life, answer) => {
-                let again = || Mail::RowAnswered(n, life, answer.clone());
-                if self.at_node(n, Some(life), again) {
-                    self.row_answered(n, answer);
-                }
-            }
+            Mail::Row(..) | Mail::RowAnswered(..) => self.deliver_row(mail),
             Mail::Reply(name, session, number, status, redirect, told) => {
                 let hung = |w: &Worker| w.hung_until > t;
                 if self.workers.get(&name).is_some_and(hung) {
@@ -128,6 +117,25 @@
         }
     }
 
+    /// A row, or what became of one, reaches a node.
+    fn deliver_row(&mut self, mail: Mail) {
+        match mail {
+            Mail::Row(to, bytes, from, life, sent) => {
+                let again = || Mail::Row(to, bytes.clone(), from, life, sent);
+                if self.at_node(to, None, again) {
+                    self.row_arrives(to, &bytes, (from, life, sent));
+                }
+            }
+            Mail::RowAnswered(n, life, answer) => {
+                let again = || Mail::RowAnswered(n, life, answer.clone());
+                if self.at_node(n, Some(life), again) {
+                    self.row_answered(n, answer);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// A worker's report, or a copy of one without a number, reaches a node.
     fn report_arrives(&mut self, n: usize, report: Box<Report>, number: Option<u64>) {
         if self.cut_from_workers(n) {
--- a/tests/common/world/links.rs
+++ b/tests/common/world/links.rs
@@ -134,7 +134,7 @@
         }
         active.evaluate(now);
         let leads = shared.role.lock().leading(now);
-        if leads.is_some() && active.table.lock().writes_fail() {
+        if active.wants_probe(leads.is_some(), now) {
             self.probe_writes(n);
         }
         if self.peers_refuse {
--- a/tests/links_service.rs
+++ b/tests/links_service.rs
@@ -230,8 +230,14 @@
 async fn no_start_arrives_while_transactions_are_refused() {
     let deployment = all_on("no-start");
     refuse_transactions_amid_work(&deployment).await;
+    let before = leader(&deployment).await;
     // What was under way has arrived by then, and after it many more tasks could have run.
     tokio::time::sleep(deployment.rules().knows * 2).await;
+    assert_eq!(
+        leader(&deployment).await,
+        before,
+        "nobody is better connected"
+    );
     deployment.state.set_writes_fail(false);
     told_done(&deployment, "wk-000001").await;
     let found = findings(&deployment);
