--- a/crates/links/src/gate/tests.rs
+++ b/crates/links/src/gate/tests.rs
@@ -1,8 +1,7 @@
 //! Tests of [`super`].
 
 use super::*;
-use crate::link::Judgement;
-use crate::timing::LinkTiming;
+use crate::test_support::{timing, JUDGEMENT};
 
 struct Service {
     read: Link,
@@ -13,19 +12,8 @@
 
 impl Service {
     fn new() -> Self {
-        let timing = LinkTiming {
-            row_interval: Duration::from_secs(1),
-            renewal_interval: Duration::from_millis(700),
-            leader_lease: Duration::from_secs(3),
-            report_interval: Duration::from_secs(3),
-            clock_difference: Duration::ZERO,
-        };
-        let judgement = Judgement {
-            phi_down: 8.0,
-            damping: true,
-        };
         let start = Instant::now();
-        let link = || Link::new(judgement, &timing, None, start);
+        let link = || Link::new(JUDGEMENT, &timing(), None, start);
         Self {
             read: link(),
             write: link(),
--- a/crates/links/src/leadership/tests.rs
+++ b/crates/links/src/leadership/tests.rs
@@ -2,23 +2,13 @@
 //! decisions, under links that a schedule cuts.
 
 use super::*;
-use crate::link::Judgement;
 use crate::table::{LinkTable, RowStamp, StoreOperation};
+use crate::test_support::{timing, JUDGEMENT};
 
 const WALL_MS: u64 = 1_800_000_000_000;
 const MEMBERS: [&str; 3] = ["knot-0", "knot-1", "knot-2"];
 const HANDOVERS_MAX: usize = 3;
 
-fn timing() -> LinkTiming {
-    LinkTiming {
-        row_interval: Duration::from_secs(1),
-        renewal_interval: Duration::from_millis(700),
-        leader_lease: Duration::from_secs(3),
-        report_interval: Duration::from_secs(3),
-        clock_difference: Duration::from_millis(50),
-    }
-}
-
 struct Controller {
     table: LinkTable,
     matrix: Matrix,
@@ -57,17 +47,13 @@
 impl Cluster {
     fn new(workers: [std::ops::Range<u32>; 3]) -> Self {
         let start = Instant::now();
-        let judgement = Judgement {
-            phi_down: 8.0,
-            damping: true,
-        };
         let controllers = workers.into_iter().enumerate().map(|(at, workers)| {
             let others = || {
                 let others = MEMBERS.iter().filter(move |m| **m != MEMBERS[at]);
                 others.map(|member| (*member).to_owned())
             };
             Controller {
-                table: LinkTable::new(MEMBERS[at], others(), judgement, timing(), start),
+                table: LinkTable::new(MEMBERS[at], others(), JUDGEMENT, timing(), start),
                 matrix: Matrix::new(others(), timing()),
                 leadership: Leadership::new(&timing(), HANDOVERS_MAX),
                 workers,
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -23,5 +23,7 @@
 pub mod misdirected;
 pub mod row;
 pub mod table;
+#[cfg(test)]
+mod test_support;
 pub mod timing;
 pub mod workers;
--- a/crates/links/src/link/tests.rs
+++ b/crates/links/src/link/tests.rs
@@ -1,21 +1,7 @@
 //! Tests of [`super`].
 
 use super::*;
-
-fn timing() -> LinkTiming {
-    LinkTiming {
-        row_interval: Duration::from_secs(1),
-        renewal_interval: Duration::from_millis(700),
-        leader_lease: Duration::from_secs(3),
-        report_interval: Duration::from_secs(3),
-        clock_difference: Duration::from_millis(50),
-    }
-}
-
-const JUDGEMENT: Judgement = Judgement {
-    phi_down: 8.0,
-    damping: true,
-};
+use crate::test_support::{timing, JUDGEMENT};
 
 /// A link with a clock in milliseconds.
 struct Played {
--- a/crates/links/src/matrix/tests.rs
+++ b/crates/links/src/matrix/tests.rs
@@ -3,19 +3,10 @@
 use super::*;
 use crate::link::LinkState;
 use crate::row::{LinkReport, PeerLinks, RowMessage, ROW_VERSION};
+use crate::test_support::timing;
 
 const WALL_MS: u64 = 1_800_000_000_000;
 
-fn timing() -> LinkTiming {
-    LinkTiming {
-        row_interval: Duration::from_secs(1),
-        renewal_interval: Duration::from_millis(700),
-        leader_lease: Duration::from_secs(3),
-        report_interval: Duration::from_secs(3),
-        clock_difference: Duration::from_millis(50),
-    }
-}
-
 fn matrix() -> Matrix {
     let members = ["knot-1", "knot-2"].map(str::to_owned);
     Matrix::new(members.into_iter(), timing())
--- a/crates/links/src/table/tests.rs
+++ b/crates/links/src/table/tests.rs
@@ -2,21 +2,11 @@
 
 use super::*;
 use crate::gate::GateRefusal;
+use crate::test_support::{timing, JUDGEMENT};
 
 fn table(now: Instant) -> LinkTable {
-    let timing = LinkTiming {
-        row_interval: Duration::from_secs(1),
-        renewal_interval: Duration::from_millis(700),
-        leader_lease: Duration::from_secs(3),
-        report_interval: Duration::from_secs(3),
-        clock_difference: Duration::from_millis(50),
-    };
-    let judgement = Judgement {
-        phi_down: 8.0,
-        damping: true,
-    };
     let others = std::iter::once("knot-1".to_owned());
-    LinkTable::new("knot-0", others, judgement, timing, now)
+    LinkTable::new("knot-0", others, JUDGEMENT, timing(), now)
 }
 
 fn row(table: &LinkTable, now: Instant) -> Row {
--- a/crates/links/src/timing.rs
+++ b/crates/links/src/timing.rs
@@ -21,8 +21,6 @@
 pub struct LinkTiming {
     /// Time between two rows of a controller.
     pub row_interval: Duration,
-    /// Time between two renewals of the leader's lease.
-    pub renewal_interval: Duration,
     /// The leader's lease.
     pub leader_lease: Duration,
     /// Time between two reports of a worker.
--- a/src/service/links.rs
+++ b/src/service/links.rs
@@ -26,7 +26,7 @@
 
 use crate::config::{secs, Settings};
 use crate::features::LinkFeatures;
-use crate::leader::{lease_time, renew_every};
+use crate::leader::lease_time;
 use crate::metrics::LinkMetrics;
 use crate::peer::reports::unix_ms;
 use crate::wire::Report;
@@ -95,7 +95,6 @@
     let clock_ms = settings.params.clock_off_ms.max(0.0) * 2.0;
     LinkTiming {
         row_interval: ROW_INTERVAL,
-        renewal_interval: renew_every(leader_lease),
         leader_lease,
         report_interval: secs(settings.params.workers.report_s),
         clock_difference: Duration::from_millis(clock_ms as u64),
