--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -9,8 +9,9 @@
 //! - [`table`] holds the links of this controller.
 //! - [`row`] is what a controller tells the others, [`matrix`] what it keeps of theirs.
 //! - [`gate`], [`health`] and [`leadership`] decide.
-//! - [`contact`] and [`misdirected`] judge whether a controller is cut off alone, with or without the
-//!   rest of the crate in use.
+//! - [`reachability`] tells workers that hear this controller from those that only speak.
+//! - [`contact`] and [`misdirected`] judge whether a controller is cut off alone. These three are in use
+//!   with or without the rest of the crate.
 
 pub mod contact;
 pub mod damping;
@@ -21,6 +22,7 @@
 pub mod link;
 pub mod matrix;
 pub mod misdirected;
+pub mod reachability;
 pub mod row;
 pub mod table;
 #[cfg(test)]
--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use knotlanding_links::health::WorkerEvidence;
+use knotlanding_links::reachability::Reachability;
 
 use super::faults::Blame;
 use super::{ImageId, KindId};
@@ -125,51 +126,6 @@
     Operator,
 }
 
-/// Whether a machine hears us. Its reports do not show that: answers and commands may be lost
-/// while reports arrive. A token that it has to bring back does.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Reachability {
-    /// The token it has to report before it gets another start, and since when.
-    doubt: Option<(Token, Instant)>,
-}
-
-impl Reachability {
-    /// Whether nothing speaks against it.
-    pub fn fine(&self) -> bool {
-        self.doubt.is_none()
-    }
-
-    /// Something we told it did not show.
-    pub fn doubt(&mut self, token: Token, now: Instant) {
-        self.doubt.get_or_insert((token, now));
-    }
-
-    /// It reported this token.
-    pub fn heard(&mut self, token: Token) {
-        if self.doubt.is_some_and(|(wanted, _)| token >= wanted) {
-            self.doubt = None;
-        }
-    }
-
-    /// Since when it is in doubt.
-    pub fn doubted_since(&self) -> Option<Instant> {
-        self.doubt.map(|(_, since)| since)
-    }
-
-    /// The doubt could not have been ended for so long.
-    pub fn wait(&mut self, missed: Duration) {
-        if let Some((_, since)) = &mut self.doubt {
-            *since += missed;
-        }
-    }
-
-    /// Whether it has been in doubt for longer than `limit`.
-    pub fn deaf(&self, now: Instant, limit: Duration) -> bool {
-        self.doubt
-            .is_some_and(|(_, since)| now.saturating_duration_since(since) > limit)
-    }
-}
-
 /// Where a machine stands with the cloud and with us.
 #[derive(Clone, Debug)]
 pub struct Machine {
@@ -419,7 +375,7 @@
     pub fn doubt(&mut self, now: Instant) {
         if let Some(raised) = self.token.raised().filter(|_| self.reachability.fine()) {
             self.token = raised;
-            self.reachability.doubt(raised, now);
+            self.reachability.doubt(raised.0, now);
         }
     }
 
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -24,11 +24,12 @@
 pub use faults::{Blame, Suspicion};
 pub use intern::{ImageId, Images, Kind, KindId, Kinds};
 pub use job::{Job, Place, Sent};
-pub use machine::{Drain, Durable, Listed, Machine, Phase, Reachability, Slot, SlotId, Stop};
+pub use machine::{Drain, Durable, Listed, Machine, Phase, Slot, SlotId, Stop};
 pub use records::{RecordKind, RecordWrite};
 pub use report::{ReportSource, Verified};
 
 use knotlanding_links::health::{HealthJudge, HealthLimits};
+use knotlanding_links::reachability::hears_few;
 
 use self::sent::SentLists;
 use crate::config::{secs, Settings};
@@ -48,8 +49,6 @@
 const LATE_REPORT: f64 = 1.25;
 /// A worker waits that long for an answer before it turns to another node, by the protocol.
 const WORKER_GIVES_UP: Duration = Duration::from_secs(4);
-/// Part of the machines below which hardly any is heard.
-const FEW_PART: f64 = 0.25;
 
 /// The workers' timing as durations.
 #[derive(Clone, Debug)]
@@ -515,7 +514,7 @@
                 heard += usize::from(machine.reported.is_some() && !machine.silent(now, limit));
             }
         }
-        known > 0 && (heard as f64) < f64::from(known) * FEW_PART
+        hears_few(known, heard)
     }
 
     /// What machines' health is judged by now. Who hears hardly any of them can't tell a machine's
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -2,10 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use knotlanding_links::reachability::Reachability;
 use tracing::{debug, info, warn};
 
 use super::commands::stop_order;
-use super::machine::{Drain, Machine, Phase, Reachability, Slot, SlotId};
+use super::machine::{Drain, Machine, Phase, Slot, SlotId};
 use super::{build_named, Cluster, Place};
 use crate::config::secs;
 use crate::model::{Attempt, JobId, MachineId, TaskId, Token};
@@ -189,7 +190,7 @@
         machine.leaves = leaves;
         let token = Token(report.token);
         machine.fenced = token.term() == self.term;
-        machine.reachability.heard(token);
+        machine.reachability.heard(token.0);
         machine.token = machine.token.max(token).max(Token::first(self.term));
         let was_fresh = machine.fresh;
         machine.fresh = report.token == 0 && report.tasks.is_empty() && machine.known_to_cloud;
