Testbed: a proxy keeps the listener of its address

Cause: in one of three further runs of tests/links_service.rs two tests ended with 'Address already in use' as a proxy took its address again; a process that another test had just forked still held the socket, as far as can be told from the code. The numbers of processes also met modulo 250.

Change: proxies keep the listener, loopback numbers use more of the process's number.

--- a/crates/testbed/src/message.rs
+++ b/crates/testbed/src/message.rs
@@ -48,13 +48,17 @@
 /// Loopback addresses given out by this process.
 static ADDRESSES: AtomicUsize = AtomicUsize::new(0);
 
-/// An address nobody listens on, with a loopback IP number of its own. A port of 127.0.0.1 was taken by
-/// another test's connection before the program came to use it: "Address already in use".
-pub fn free_address() -> String {
+/// A listener at a loopback IP number of its own: ports of 127.0.0.1 are taken by other tests' connections.
+/// Whoever can should keep it: an address that is given up and taken again may be in use for a moment, as
+/// a process that another test has just forked holds the socket until it runs its program.
+pub fn free_listener() -> TcpListener {
     let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id() as usize;
-    let (network, high, low) = (1 + process % 250, number / 250, 1 + number % 250);
-    let ip = format!("127.{network}.{high}.{low}");
-    let listener = TcpListener::bind((ip.as_str(), 0)).unwrap();
-    listener.local_addr().unwrap().to_string()
+    let (high, middle, low) = (1 + process % 250, process / 250 % 250, 1 + number % 250);
+    TcpListener::bind((format!("127.{high}.{middle}.{low}"), 0)).unwrap()
+}
+
+/// An address nobody listens on. "Address already in use" was seen while it was one of 127.0.0.1.
+pub fn free_address() -> String {
+    free_listener().local_addr().unwrap().to_string()
 }
--- a/crates/testbed/src/proxy.rs
+++ b/crates/testbed/src/proxy.rs
@@ -102,8 +102,8 @@
 impl Proxy {
     /// Listens on a loopback address of its own and passes connections on to `target`.
     pub fn start(target: &str) -> Self {
-        let address = crate::message::free_address();
-        let listener = std::net::TcpListener::bind(&address).unwrap();
+        let listener = crate::message::free_listener();
+        let address = listener.local_addr().unwrap().to_string();
         listener.set_nonblocking(true).unwrap();
         let target: SocketAddr = target.parse().unwrap();
         let (mode, watched) = watch::channel(LinkMode::default());
