--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and tests of the independent review: `review-standins CASE RECORD-FILE FOLDER`.
 //! Exit code 1: a rule was broken; 0: it held; 2: the case could not run. `TROUBLE=0` leaves out the disruption.
 
+mod burst;
 mod cloud;
 mod nodes;
 mod pause;
@@ -63,6 +64,7 @@
     record.say(format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let code = actix::System::new().block_on(async {
         match case.as_str() {
+            "burst" => burst::run(World::start(record.clone(), folder, trouble, 4, "heavybid")).await,
             "pause" => pause::run(World::start(record.clone(), folder, trouble, 40, "heavybid")).await,
             _ => 2,
         }
