--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and tests of the independent review: `review-standins CASE RECORD-FILE FOLDER`.
 //! Exit code 1: a rule was broken; 0: it held; 2: the case could not run. `TROUBLE=0` leaves out the disruption.
 
+mod abort;
 mod burst;
 mod cloud;
 mod nodes;
@@ -66,6 +67,7 @@
         match case.as_str() {
             "burst" => burst::run(World::start(record.clone(), folder, trouble, 4, "heavybid")).await,
             "pause" => pause::run(World::start(record.clone(), folder, trouble, 40, "heavybid")).await,
+            "abort" => abort::run(World::start(record.clone(), folder, trouble, 8, "lightbid")).await,
             _ => 2,
         }
     });
