--- a/review/standins/src/pause.rs
+++ b/review/standins/src/pause.rs
@@ -41,12 +41,20 @@
     }
     // Nodes that have not answered since their last pause.
     let mut silent = [false; 3];
+    let mut over = record.seconds();
+    let mut gathered = false;
     while *trouble && record.seconds() + PAUSE_MAX_S < PAUSES_UNTIL_S && silent.contains(&false) {
         let leader = store.leader().and_then(|name| name.trim_start_matches("knot-").parse::<usize>().ok());
         let Some(node) = leader.filter(|node| !silent[*node]) else {
             actix::clock::sleep(Duration::from_millis(100)).await;
             continue;
         };
+        if silent.iter().filter(|silent| **silent).count() == 2 && !gathered {
+            // Workers find the last node that answers within two responses that they wait for in vain.
+            gathered = true;
+            actix::clock::sleep(Duration::from_secs(8)).await;
+            continue;
+        }
         nodes.signal(node, libc::SIGSTOP);
         record.say(format!("knot-{node}, which leads, stands still"));
         let began = record.seconds();
@@ -58,20 +66,17 @@
             }
         }
         nodes.signal(node, libc::SIGCONT);
+        over = record.seconds();
         let length = record.seconds() - began;
         record.say(format!("knot-{node} goes on after {length:.2} s; leader: {:?}", store.leader()));
         // Workers come back meanwhile, to this node or another.
         actix::clock::sleep(Duration::from_millis(1000)).await;
-        let mut answer = None;
-        for _ in 0..2 {
-            answer = answer.or(users.up(&nodes.public[node]).await);
-        }
+        let answer = users.up(&nodes.public[node]).await;
         actix::clock::sleep(Duration::from_millis(500)).await;
         record.say(format!("knot-{node}: /up: {answer:?}"));
         silent[node] = answer.is_none();
     }
-    let over = record.seconds();
-    record.say(format!("the troubles are over; nodes that did not answer then: {silent:?}"));
+    record.say(format!("the troubles are over since {over:.1} s; nodes that did not answer then: {silent:?}"));
     // A user for each node asks about a job.
     let watches = (0..3).map(|node| {
         let (record, users, address) = (record.clone(), users.clone(), nodes.public[node].clone());
