--- a/review/standins/src/abort.rs
+++ b/review/standins/src/abort.rs
@@ -40,7 +40,15 @@
 const STANDSTILL: Duration = Duration::from_millis(1250);
 
 pub async fn run(world: World) -> i32 {
-    let World { record, trouble, cloud, nodes, users, store, .. } = &world;
+    let World {
+        record,
+        trouble,
+        cloud,
+        nodes,
+        users,
+        store,
+        ..
+    } = &world;
     if !world.is_ready().await {
         return 2;
     }
@@ -48,7 +56,10 @@
     for number in 1..=POLLED_JOBS {
         let id = format!("wk-{number:06}");
         cloud.ends.lock().unwrap().insert(id.clone(), never);
-        if !users.submit_until_accepted(&nodes.public, &array(&id, 1, 0.05, 600.0)).await {
+        if !users
+            .submit_until_accepted(&nodes.public, &array(&id, 1, 0.05, 600.0))
+            .await
+        {
             return 2;
         }
     }
@@ -56,7 +67,9 @@
     let mut broken = Vec::new();
     while record.seconds() < ROUNDS_UNTIL_S && broken.is_empty() {
         round += 1;
-        let ids: Vec<String> = (1..=JOBS_PER_ROUND).map(|n| format!("wk-{:06}", round * 1000 + n)).collect();
+        let ids: Vec<String> = (1..=JOBS_PER_ROUND)
+            .map(|n| format!("wk-{:06}", round * 1000 + n))
+            .collect();
         for id in &ids {
             cloud.ends.lock().unwrap().insert(id.clone(), never);
         }
@@ -75,29 +88,40 @@
             }
             actix::clock::sleep(Duration::from_millis(100)).await;
         }
-        let Some(leader) = store.leader().and_then(|name| name.trim_start_matches("knot-").parse::<usize>().ok()) else {
+        let Some(leader) = store
+            .leader()
+            .and_then(|name| name.trim_start_matches("knot-").parse::<usize>().ok())
+        else {
             continue;
         };
         // The leader goes on hearing of the tasks if no busy machine reports to the node that stands still.
         let followers = [(leader + 1) % 3, (leader + 2) % 3];
-        let other = if cloud.hears_tasks(followers[0]) { followers[1] } else { followers[0] };
+        let other = if cloud.hears_tasks(followers[0]) {
+            followers[1]
+        } else {
+            followers[0]
+        };
         let pid = nodes.pid(other);
         // The node reads for a first question at once, and a moment later for all that came meanwhile.
         let delay = Duration::from_micros(rand::rng().random_range(50..1200));
         let stopped = Arc::new(AtomicBool::new(false));
         let (flag, stop) = (stopped.clone(), *trouble);
-        store.after_read(other, 2, Box::new(move || {
-            std::thread::spawn(move || {
-                let at = Instant::now() + delay;
-                while Instant::now() < at {
-                    std::hint::spin_loop();
-                }
-                if stop {
-                    send_signal(pid, libc::SIGSTOP);
-                }
-                flag.store(true, Ordering::SeqCst);
-            });
-        }));
+        store.after_read(
+            other,
+            2,
+            Box::new(move || {
+                std::thread::spawn(move || {
+                    let at = Instant::now() + delay;
+                    while Instant::now() < at {
+                        std::hint::spin_loop();
+                    }
+                    if stop {
+                        send_signal(pid, libc::SIGSTOP);
+                    }
+                    flag.store(true, Ordering::SeqCst);
+                });
+            }),
+        );
         // The tasks complete now.
         let end = Instant::now() + Duration::from_millis(100);
         for id in &ids {
@@ -128,7 +152,11 @@
         let mut told: BTreeMap<String, f64> = BTreeMap::new();
         let still = Instant::now();
         while still.elapsed() < STANDSTILL {
-            let left: Vec<String> = ids.iter().filter(|id| !told.contains_key(*id)).cloned().collect();
+            let left: Vec<String> = ids
+                .iter()
+                .filter(|id| !told.contains_key(*id))
+                .cloned()
+                .collect();
             let answers = join_all(left.into_iter().map(|id| {
                 let (users, address) = (users.clone(), nodes.public[leader].clone());
                 async move { (users.poll(&address, &id).await, id) }
@@ -154,7 +182,9 @@
         for (answer, id) in answers.await {
             let Some(status) = answer else { continue };
             if let Some(at) = told.get(&id).filter(|_| status != "done") {
-                record.line(format!("{id} was called done at {at:.4} and is called {status} now"));
+                record.line(format!(
+                    "{id} was called done at {at:.4} and is called {status} now"
+                ));
                 broken.push(id);
             }
         }
--- a/review/standins/src/burst.rs
+++ b/review/standins/src/burst.rs
@@ -21,7 +21,14 @@
     if !world.is_ready().await {
         return 2;
     }
-    let World { record, trouble, cloud, nodes, users, .. } = &world;
+    let World {
+        record,
+        trouble,
+        cloud,
+        nodes,
+        users,
+        ..
+    } = &world;
     // Six tenths of the nominal boot time, and the run time of each task.
     *cloud.boot.lock().unwrap() = Duration::from_secs(18);
     *cloud.run_time.lock().unwrap() = Duration::from_secs(5);
@@ -34,13 +41,20 @@
         actix::clock::sleep(Duration::from_secs_f64(wait)).await;
         next += interval;
         let id = format!("wk-{:06}", accepted.len() + 1);
-        if !users.submit_until_accepted(&nodes.public, &array(&id, TASKS, CORES, 5.0)).await {
+        if !users
+            .submit_until_accepted(&nodes.public, &array(&id, TASKS, CORES, 5.0))
+            .await
+        {
             return 2;
         }
         accepted.push(id);
     }
     let over = record.seconds();
-    record.say(format!("{} jobs accepted; {} machines", accepted.len(), cloud.machine_count()));
+    record.say(format!(
+        "{} jobs accepted; {} machines",
+        accepted.len(),
+        cloud.machine_count()
+    ));
     // Jobs of which no poll and no worker has shown anything but waiting, since the last job came.
     let mut waiting: BTreeSet<String> = accepted.iter().cloned().collect();
     while record.seconds() - over < WAITING_S && !waiting.is_empty() {
@@ -53,7 +67,10 @@
         // A machine has room for a task of any of these jobs at every look, or the time begins anew.
         actix::clock::sleep(Duration::from_secs(2)).await;
         let room = cloud.rooms(CORES);
-        record.line(format!("{} jobs wait; machines and the tasks on them: {room:?}", waiting.len()));
+        record.line(format!(
+            "{} jobs wait; machines and the tasks on them: {room:?}",
+            waiting.len()
+        ));
         if record.seconds() - over > 10.0 && room.is_empty() {
             record.say("no machine has room");
             return 0;
--- a/review/standins/src/cloud.rs
+++ b/review/standins/src/cloud.rs
@@ -71,7 +71,10 @@
     fn pass_time(&self, state: &mut WorkerState) {
         let now = Instant::now();
         if now.duration_since(state.renewed_at).as_secs_f64() > LEASE_S {
-            self.record.line(format!("{}: lease over, session {} ends", self.host, state.tenure));
+            self.record.line(format!(
+                "{}: lease over, session {} ends",
+                self.host, state.tenure
+            ));
             state.tasks.clear();
             state.tenure += 1;
             state.renewed_at = now;
@@ -81,7 +84,10 @@
         for task in &mut state.tasks {
             if let Phase::Pulling(since) = task.phase {
                 if now.duration_since(since) >= PULL {
-                    self.record.line(format!("{}: {} try {} starts", self.host, task.id, task.attempt));
+                    self.record.line(format!(
+                        "{}: {} try {} starts",
+                        self.host, task.id, task.attempt
+                    ));
                     task.phase = Phase::Running(now);
                     self.change.notify_one();
                 }
@@ -90,7 +96,10 @@
                 let job = task.id.split('/').next().unwrap_or_default();
                 let end = ends.get(job).copied().unwrap_or(since + run_time);
                 if now >= end {
-                    self.record.line(format!("{}: {} try {} done", self.host, task.id, task.attempt));
+                    self.record.line(format!(
+                        "{}: {} try {} done",
+                        self.host, task.id, task.attempt
+                    ));
                     task.phase = Phase::Done;
                     self.change.notify_one();
                 }
@@ -117,30 +126,47 @@
         }
         state.baton = baton;
         let half_lease = Duration::from_secs_f64(LEASE_S / 2.0);
-        if state.baton_change_at.is_none_or(|at| at.elapsed() >= half_lease) {
+        if state
+            .baton_change_at
+            .is_none_or(|at| at.elapsed() >= half_lease)
+        {
             state.baton_change_at = Some(Instant::now());
             self.change.notify_one();
         }
     }
 
     fn execute(&self, state: &mut WorkerState, body: &Value) {
-        let orders = field(body, "orders").and_then(Value::as_array).cloned().unwrap_or_default();
+        let orders = field(body, "orders")
+            .and_then(Value::as_array)
+            .cloned()
+            .unwrap_or_default();
         for order in &orders {
             let (id, attempt) = (text(order, "strand"), number(order, "try"));
-            let known = state.tasks.iter().position(|t| t.id == id && t.attempt == attempt);
+            let known = state
+                .tasks
+                .iter()
+                .position(|t| t.id == id && t.attempt == attempt);
             let verb = text(order, "verb");
             match (verb.as_str(), known) {
                 ("run", None) => {
-                    self.record.line(format!("{}: run {id} try {attempt}", self.host));
-                    state.seen.insert(id.split('/').next().unwrap_or_default().to_owned());
+                    self.record
+                        .line(format!("{}: run {id} try {attempt}", self.host));
+                    state
+                        .seen
+                        .insert(id.split('/').next().unwrap_or_default().to_owned());
                     let phase = Phase::Pulling(Instant::now());
                     state.tasks.push(Task { id, attempt, phase });
                 }
-                ("kill", Some(at)) if matches!(state.tasks[at].phase, Phase::Pulling(_) | Phase::Running(_)) => {
-                    self.record.line(format!("{}: kill {id} try {attempt}", self.host));
+                ("kill", Some(at))
+                    if matches!(state.tasks[at].phase, Phase::Pulling(_) | Phase::Running(_)) =>
+                {
+                    self.record
+                        .line(format!("{}: kill {id} try {attempt}", self.host));
                     state.tasks[at].phase = Phase::Stopped;
                 }
-                ("clear", Some(at)) if matches!(state.tasks[at].phase, Phase::Done | Phase::Stopped) => {
+                ("clear", Some(at))
+                    if matches!(state.tasks[at].phase, Phase::Done | Phase::Stopped) =>
+                {
                     state.tasks.remove(at);
                 }
                 _ => continue,
@@ -172,8 +198,12 @@
     let value = match task.phase {
         Phase::Pulling(_) => cbor!({"strand" => id, "try" => attempt, "status" => "pulling"}),
         Phase::Running(_) => cbor!({"strand" => id, "try" => attempt, "status" => "running"}),
-        Phase::Done => cbor!({"strand" => id, "try" => attempt, "status" => "exited", "cause" => "done"}),
-        Phase::Stopped => cbor!({"strand" => id, "try" => attempt, "status" => "exited", "cause" => "stopped"}),
+        Phase::Done => {
+            cbor!({"strand" => id, "try" => attempt, "status" => "exited", "cause" => "done"})
+        }
+        Phase::Stopped => {
+            cbor!({"strand" => id, "try" => attempt, "status" => "exited", "cause" => "stopped"})
+        }
     };
     value.unwrap()
 }
@@ -190,7 +220,11 @@
         let request = http.post(format!("http://{}/hello", worker.nodes[node]));
         let next = (node + 1) % count;
         let mut retry = Duration::from_secs(1);
-        match request.timeout(RESPONSE_LIMIT).send_body(encode(&report)).await {
+        match request
+            .timeout(RESPONSE_LIMIT)
+            .send_body(encode(&report))
+            .await
+        {
             Ok(mut response) => {
                 let body = response.body().limit(1 << 20).await;
                 let body = body.map_or(Value::Null, |bytes| decode(&bytes));
@@ -201,7 +235,9 @@
                     }
                     421 => {
                         let named = text(&body, "answerTo");
-                        let index = named.strip_prefix("knot-").and_then(|n| n.parse::<usize>().ok());
+                        let index = named
+                            .strip_prefix("knot-")
+                            .and_then(|n| n.parse::<usize>().ok());
                         match index.filter(|index| *index != node && *index < count) {
                             Some(index) => {
                                 node = index;
@@ -219,7 +255,8 @@
             actix::clock::sleep(retry).await;
             continue;
         }
-        let due = sent_at + Duration::from_secs_f64(REPORT_S * rand::rng().random_range(0.75..1.25));
+        let due =
+            sent_at + Duration::from_secs_f64(REPORT_S * rand::rng().random_range(0.75..1.25));
         let earliest = sent_at + REPORT_PAUSE_MIN;
         loop {
             let left = due.saturating_duration_since(Instant::now());
@@ -228,7 +265,9 @@
             }
             // Running tasks are looked at ten times a second.
             let wait = left.min(Duration::from_millis(100));
-            let changed = actix::clock::timeout(wait, worker.change.notified()).await.is_ok();
+            let changed = actix::clock::timeout(wait, worker.change.notified())
+                .await
+                .is_ok();
             if changed {
                 actix::clock::sleep_until(earliest.into()).await;
                 break;
@@ -256,9 +295,13 @@
 impl Cloud {
     /// Starts the cloud's interface, and a server that takes the direct commands to all machines.
     pub fn start(capacity: usize, build: &'static str, record: Record) -> (Self, String) {
-        let listeners: Vec<TcpListener> =
-            (0..capacity * 2).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-        let addresses = listeners.iter().map(|l| l.local_addr().unwrap().to_string()).collect();
+        let listeners: Vec<TcpListener> = (0..capacity * 2)
+            .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+            .collect();
+        let addresses = listeners
+            .iter()
+            .map(|l| l.local_addr().unwrap().to_string())
+            .collect();
         let cloud = Self {
             machines: Arc::default(),
             hires: Arc::default(),
@@ -266,7 +309,9 @@
             nodes: Arc::default(),
             addresses: Arc::new(addresses),
             record,
-            http: awc::Client::builder().connector(awc::Connector::new().limit(1000)).finish(),
+            http: awc::Client::builder()
+                .connector(awc::Connector::new().limit(1000))
+                .finish(),
             boot: Arc::new(Mutex::new(Duration::from_secs(1))),
             run_time: Arc::new(Mutex::new(Duration::from_secs(5))),
             ends: Arc::default(),
@@ -322,7 +367,14 @@
                 .route("/machines", web::post().to(rent))
                 .route("/machines/return", web::post().to(give_back))
         });
-        actix::spawn(server.workers(1).disable_signals().listen(listener).unwrap().run());
+        actix::spawn(
+            server
+                .workers(1)
+                .disable_signals()
+                .listen(listener)
+                .unwrap()
+                .run(),
+        );
         (cloud, address)
     }
 
@@ -335,7 +387,11 @@
         let machines = self.machines.lock().unwrap();
         let running = |worker: &Arc<Worker>| {
             let state = worker.state.lock().unwrap();
-            state.tasks.iter().filter(|t| matches!(t.phase, Phase::Running(_))).count()
+            state
+                .tasks
+                .iter()
+                .filter(|t| matches!(t.phase, Phase::Running(_)))
+                .count()
         };
         machines.values().map(running).sum()
     }
@@ -345,7 +401,11 @@
         let machines = self.machines.lock().unwrap();
         let hears = |worker: &Arc<Worker>| {
             let state = worker.state.lock().unwrap();
-            state.node == node && state.tasks.iter().any(|t| matches!(t.phase, Phase::Running(_)))
+            state.node == node
+                && state
+                    .tasks
+                    .iter()
+                    .any(|t| matches!(t.phase, Phase::Running(_)))
         };
         machines.values().any(hears)
     }
@@ -363,9 +423,16 @@
         let mut rooms = Vec::new();
         for worker in machines.values() {
             let state = worker.state.lock().unwrap();
-            let on = state.tasks.iter().filter(|t| matches!(t.phase, Phase::Pulling(_) | Phase::Running(_)));
+            let on = state
+                .tasks
+                .iter()
+                .filter(|t| matches!(t.phase, Phase::Pulling(_) | Phase::Running(_)));
             let tasks = on.count();
-            let whole = if worker.build == "lightbid" { LIGHTBID_CORES } else { HEAVYBID_CORES };
+            let whole = if worker.build == "lightbid" {
+                LIGHTBID_CORES
+            } else {
+                HEAVYBID_CORES
+            };
             if state.up && (tasks + 1) as f64 * cores <= whole {
                 rooms.push((worker.host.clone(), tasks));
             }
@@ -409,7 +476,9 @@
 async fn list(api: web::Data<Api>, query: web::Query<BTreeMap<String, String>>) -> HttpResponse {
     let after = query.get("after").cloned().unwrap_or_default();
     let machines = api.machines.lock().unwrap();
-    let listed = machines.values().filter(|w| w.host > after && w.rented_at.elapsed() > LIST_LAG);
+    let listed = machines
+        .values()
+        .filter(|w| w.host > after && w.rented_at.elapsed() > LIST_LAG);
     let hosts: Vec<Value> = listed
         .map(|w| {
             cbor!({
@@ -430,7 +499,9 @@
         return respond(200, &cbor!({"hosts" => hosts}).unwrap());
     }
     let spot = matches!(field(&body, "loaners"), Some(Value::Bool(true)));
-    let free = api.capacity.saturating_sub(api.machines.lock().unwrap().len());
+    let free = api
+        .capacity
+        .saturating_sub(api.machines.lock().unwrap().len());
     let left = api.addresses.len() - *api.rented.lock().unwrap();
     let granted = (number(&body, "number") as usize).min(free).min(left);
     if granted == 0 || spot {
@@ -468,18 +539,25 @@
                 tasks: Vec::new(),
             }),
         });
-        api.machines.lock().unwrap().insert(host.clone(), worker.clone());
+        api.machines
+            .lock()
+            .unwrap()
+            .insert(host.clone(), worker.clone());
         let _ = api.rentals.send(worker);
         hosts.push(host);
     }
-    api.record.line(format!("cloud: {hire} rents {} machines", hosts.len()));
+    api.record
+        .line(format!("cloud: {hire} rents {} machines", hosts.len()));
     api.hires.lock().unwrap().insert(hire, hosts.clone());
     respond(200, &cbor!({"hosts" => hosts}).unwrap())
 }
 
 async fn give_back(api: web::Data<Api>, body: web::Bytes) -> HttpResponse {
     let body = decode(&body);
-    let hosts = field(&body, "hosts").and_then(Value::as_array).cloned().unwrap_or_default();
+    let hosts = field(&body, "hosts")
+        .and_then(Value::as_array)
+        .cloned()
+        .unwrap_or_default();
     for host in hosts.iter().filter_map(Value::as_text) {
         let removed = api.machines.lock().unwrap().remove(host);
         if let Some(worker) = removed {
@@ -509,7 +587,8 @@
     let valid = {
         let mut state = worker.state.lock().unwrap();
         worker.pass_time(&mut state);
-        let valid = number(&body, "baton") >= state.baton && number(&body, "tenure") == state.tenure;
+        let valid =
+            number(&body, "baton") >= state.baton && number(&body, "tenure") == state.tenure;
         if valid {
             worker.raise_baton(&mut state, number(&body, "baton"));
             worker.execute(&mut state, &body);
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -24,13 +24,26 @@
 
 impl World {
     /// Starts the stand-ins and three nodes. The cloud has up to `capacity` machines of one type.
-    fn start(record: Record, folder: &str, trouble: bool, capacity: usize, build: &'static str) -> Self {
+    fn start(
+        record: Record,
+        folder: &str,
+        trouble: bool,
+        capacity: usize,
+        build: &'static str,
+    ) -> Self {
         let (store, states) = store::Store::start(3, record.clone());
         let (cloud, cloud_address) = cloud::Cloud::start(capacity, build, record.clone());
         let nodes = nodes::Nodes::start(folder, &states, &cloud_address, record.clone());
         cloud.set_nodes(&nodes.public);
         let users = users::Users::new(record.clone());
-        Self { record, trouble, store, cloud, nodes, users }
+        Self {
+            record,
+            trouble,
+            store,
+            cloud,
+            nodes,
+            users,
+        }
     }
 
     /// Waits until every node answers `/up` with 200 and one of them leads; false after 15 s.
@@ -62,12 +75,28 @@
     };
     let record = Record::create(file);
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    record.say(format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
+    record.say(format!(
+        "case {case}, disruption {}",
+        if trouble { "on" } else { "off" }
+    ));
     let code = actix::System::new().block_on(async {
         match case.as_str() {
-            "burst" => burst::run(World::start(record.clone(), folder, trouble, 4, "heavybid")).await,
-            "pause" => pause::run(World::start(record.clone(), folder, trouble, 40, "heavybid")).await,
-            "abort" => abort::run(World::start(record.clone(), folder, trouble, 8, "lightbid")).await,
+            "burst" => {
+                burst::run(World::start(record.clone(), folder, trouble, 4, "heavybid")).await
+            }
+            "pause" => {
+                pause::run(World::start(
+                    record.clone(),
+                    folder,
+                    trouble,
+                    40,
+                    "heavybid",
+                ))
+                .await
+            }
+            "abort" => {
+                abort::run(World::start(record.clone(), folder, trouble, 8, "lightbid")).await
+            }
             _ => 2,
         }
     });
--- a/review/standins/src/nodes.rs
+++ b/review/standins/src/nodes.rs
@@ -19,13 +19,18 @@
 
 fn free_addresses(count: usize) -> Vec<String> {
     // Addresses of 127.0.0.1 may be taken by connections meanwhile.
-    (0..count).map(|_| knotlanding_testbed::message::free_address()).collect()
+    (0..count)
+        .map(|_| knotlanding_testbed::message::free_address())
+        .collect()
 }
 
 /// The program and its arguments in `deploy/service.toml`.
 fn run_command() -> Vec<String> {
     let file = std::fs::read_to_string("deploy/service.toml").unwrap();
-    let line = file.lines().find(|line| line.starts_with("run = ")).unwrap();
+    let line = file
+        .lines()
+        .find(|line| line.starts_with("run = "))
+        .unwrap();
     let command = line.trim_start_matches("run = ").trim_matches('"');
     command.split_whitespace().map(str::to_owned).collect()
 }
@@ -145,12 +150,16 @@
         let child = command_line
             .args(&command[1..])
             .arg(&self.files[node])
-            .env("LOG_LEVEL", std::env::var("LOG_LEVEL").unwrap_or("error".to_owned()))
+            .env(
+                "LOG_LEVEL",
+                std::env::var("LOG_LEVEL").unwrap_or("error".to_owned()),
+            )
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
             .unwrap();
-        self.record.line(format!("knot-{node} started, process {}", child.id()));
+        self.record
+            .line(format!("knot-{node} started, process {}", child.id()));
         self.processes[node] = Some(child);
     }
 
@@ -164,7 +173,9 @@
     }
 
     pub fn pid(&self, node: usize) -> i32 {
-        self.processes[node].as_ref().map_or(0, |child| child.id() as i32)
+        self.processes[node]
+            .as_ref()
+            .map_or(0, |child| child.id() as i32)
     }
 
     /// Whether the process has ended by itself.
--- a/review/standins/src/pause.rs
+++ b/review/standins/src/pause.rs
@@ -20,7 +20,15 @@
 const RUN_TIME: Duration = Duration::from_secs(600);
 
 pub async fn run(world: World) -> i32 {
-    let World { record, trouble, cloud, nodes, users, store, .. } = &world;
+    let World {
+        record,
+        trouble,
+        cloud,
+        nodes,
+        users,
+        store,
+        ..
+    } = &world;
     *cloud.run_time.lock().unwrap() = RUN_TIME;
     if !world.is_ready().await {
         return 2;
@@ -35,7 +43,11 @@
     while cloud.running() < wanted && record.seconds() < 15.0 {
         actix::clock::sleep(Duration::from_millis(200)).await;
     }
-    record.say(format!("{} tasks run on {} machines", cloud.running(), cloud.machine_count()));
+    record.say(format!(
+        "{} tasks run on {} machines",
+        cloud.running(),
+        cloud.machine_count()
+    ));
     if cloud.running() == 0 {
         return 2;
     }
@@ -44,7 +56,9 @@
     let mut over = record.seconds();
     let mut gathered = false;
     while *trouble && record.seconds() + PAUSE_MAX_S < PAUSES_UNTIL_S && silent.contains(&false) {
-        let leader = store.leader().and_then(|name| name.trim_start_matches("knot-").parse::<usize>().ok());
+        let leader = store
+            .leader()
+            .and_then(|name| name.trim_start_matches("knot-").parse::<usize>().ok());
         let Some(node) = leader.filter(|node| !silent[*node]) else {
             actix::clock::sleep(Duration::from_millis(100)).await;
             continue;
@@ -60,7 +74,10 @@
         let began = record.seconds();
         while record.seconds() - began < PAUSE_MAX_S {
             actix::clock::sleep(Duration::from_millis(20)).await;
-            if store.leader().is_some_and(|leader| leader != format!("knot-{node}")) {
+            if store
+                .leader()
+                .is_some_and(|leader| leader != format!("knot-{node}"))
+            {
                 actix::clock::sleep(Duration::from_millis(300)).await;
                 break;
             }
@@ -68,7 +85,10 @@
         nodes.signal(node, libc::SIGCONT);
         over = record.seconds();
         let length = record.seconds() - began;
-        record.say(format!("knot-{node} goes on after {length:.2} s; leader: {:?}", store.leader()));
+        record.say(format!(
+            "knot-{node} goes on after {length:.2} s; leader: {:?}",
+            store.leader()
+        ));
         // Workers come back meanwhile, to this node or another.
         actix::clock::sleep(Duration::from_millis(1000)).await;
         let answer = users.up(&nodes.public[node]).await;
@@ -76,7 +96,9 @@
         record.say(format!("knot-{node}: /up: {answer:?}"));
         silent[node] = answer.is_none();
     }
-    record.say(format!("the troubles are over since {over:.1} s; nodes that did not answer then: {silent:?}"));
+    record.say(format!(
+        "the troubles are over since {over:.1} s; nodes that did not answer then: {silent:?}"
+    ));
     // A user for each node asks about a job.
     let watches = (0..3).map(|node| {
         let (record, users, address) = (record.clone(), users.clone(), nodes.public[node].clone());
@@ -95,7 +117,10 @@
     let mut hanging = 0;
     for (node, watch) in watches.into_iter().enumerate() {
         let (asked, answers) = watch.await.unwrap();
-        record.say(format!("knot-{node}: {asked} questions in {:.0} s, {answers} answers", record.seconds() - over));
+        record.say(format!(
+            "knot-{node}: {asked} questions in {:.0} s, {answers} answers",
+            record.seconds() - over
+        ));
         hanging += usize::from(answers == 0);
     }
     if hanging == 3 {
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -40,7 +40,11 @@
 
 impl Limit {
     fn new(rate: f64) -> Self {
-        Self { rate, level: rate, at: Instant::now() }
+        Self {
+            rate,
+            level: rate,
+            at: Instant::now(),
+        }
     }
 
     fn take(&mut self, amount: f64) -> bool {
@@ -93,7 +97,8 @@
         let stamp = self.epoch;
         let event = cbor!({"set" => key, "v" => value, "stamp" => stamp}).unwrap();
         self.changes.push((stamp, key.to_owned(), event));
-        self.keys.insert(key.to_owned(), Stored { value, stamp, hold });
+        self.keys
+            .insert(key.to_owned(), Stored { value, stamp, hold });
     }
 
     fn delete(&mut self, key: &str) {
@@ -150,7 +155,10 @@
         std::thread::spawn(move || {
             actix::System::new().block_on(async move {
                 for (node, listener) in listeners.into_iter().enumerate() {
-                    let port = Port { store: shared.clone(), node };
+                    let port = Port {
+                        store: shared.clone(),
+                        node,
+                    };
                     let server = HttpServer::new(move || {
                         App::new()
                             .app_data(web::Data::new(port.clone()))
@@ -181,7 +189,10 @@
     /// that gets a signal depends on it.
     pub fn leader(&self) -> Option<String> {
         let inner = self.inner.lock().unwrap();
-        inner.keys.get("kl/leader").map(|stored| text(&stored.value, "member"))
+        inner
+            .keys
+            .get("kl/leader")
+            .map(|stored| text(&stored.value, "member"))
     }
 
     /// Runs `hook` once, right after the answer to the `count`th read of this node from now was made.
@@ -247,7 +258,11 @@
         .filter(|(key, _)| key.starts_with(&under) && **key > after)
         .collect();
     let more = rows.len() > limit;
-    let rows: Vec<Value> = rows.into_iter().take(limit).map(|(k, s)| row(k, s)).collect();
+    let rows: Vec<Value> = rows
+        .into_iter()
+        .take(limit)
+        .map(|(k, s)| row(k, s))
+        .collect();
     let page = cbor!({"rows" => rows, "more" => more, "epoch" => inner.epoch});
     respond(200, &page.unwrap())
 }
@@ -271,7 +286,10 @@
         return HttpResponse::TooManyRequests().finish();
     }
     let holds = apply.iter().map(|change| number(change, "hold"));
-    if holds.into_iter().any(|hold| hold != 0 && !inner.leases.contains_key(&hold)) {
+    if holds
+        .into_iter()
+        .any(|hold| hold != 0 && !inner.leases.contains_key(&hold))
+    {
         return respond(400, &cbor!({"error" => "no such lease"}).unwrap());
     }
     let failed: Vec<String> = when
@@ -296,7 +314,10 @@
             let value = field(change, "v").cloned().unwrap_or(Value::Null);
             let key = text(change, "set");
             if key == "kl/leader" {
-                port.store.record.line(format!("state service: leader is {}", text(&value, "member")));
+                port.store.record.line(format!(
+                    "state service: leader is {}",
+                    text(&value, "member")
+                ));
             }
             inner.put(&key, value, number(change, "hold"));
         }
@@ -315,7 +336,13 @@
     inner.next_lease += 1;
     let hold = inner.next_lease;
     let ttl = Duration::from_millis(number(&decode(&body), "ttlMs"));
-    inner.leases.insert(hold, Lease { ttl, renewed_at: Instant::now() });
+    inner.leases.insert(
+        hold,
+        Lease {
+            ttl,
+            renewed_at: Instant::now(),
+        },
+    );
     respond(200, &cbor!({"hold" => hold}).unwrap())
 }
 
@@ -345,7 +372,12 @@
 }
 
 async fn follow(port: web::Data<Port>, query: Query) -> HttpResponse {
-    let parameter = |name: &str| query.get(name).and_then(|v| v.parse::<u64>().ok()).unwrap_or(0);
+    let parameter = |name: &str| {
+        query
+            .get(name)
+            .and_then(|v| v.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
     let under = query.get("under").cloned().unwrap_or_default();
     let (after, hold_ms) = (parameter("after"), parameter("holdMs"));
     let deadline = Instant::now() + Duration::from_millis(hold_ms);
@@ -356,7 +388,9 @@
         let change = port.store.changed.notified();
         {
             let inner = port.store.inner.lock().unwrap();
-            let first = inner.changes.partition_point(|(stamp, _, _)| *stamp <= after);
+            let first = inner
+                .changes
+                .partition_point(|(stamp, _, _)| *stamp <= after);
             let newer = inner.changes[first..].iter();
             let events: Vec<Value> = newer
                 .filter(|(_, key, _)| key.starts_with(&under))
--- a/review/standins/src/users.rs
+++ b/review/standins/src/users.rs
@@ -37,9 +37,16 @@
 
     /// Submits a job; returns the status, or 0 without a response within 5 s.
     pub async fn submit(&self, node: &str, job: &Value) -> u16 {
-        let sent = self.http.post(format!("http://{node}/api/jobs")).send_body(encode(job)).await;
+        let sent = self
+            .http
+            .post(format!("http://{node}/api/jobs"))
+            .send_body(encode(job))
+            .await;
         let status = sent.map_or(0, |response| response.status().as_u16());
-        self.record.line(format!("user: submit {} at {node}: {status}", text(job, "nameId")));
+        self.record.line(format!(
+            "user: submit {} at {node}: {status}",
+            text(job, "nameId")
+        ));
         status
     }
 
@@ -63,7 +70,8 @@
         match response.status().as_u16() {
             200 => {
                 let status = text(&decode(&response.body().await.ok()?), "status");
-                self.record.line(format!("user: poll {id} at {node}: {status}"));
+                self.record
+                    .line(format!("user: poll {id} at {node}: {status}"));
                 Some(status)
             }
             404 => Some("404".to_owned()),
@@ -73,7 +81,11 @@
 
     /// Asks once to cancel a job: the status of the job in a 200, or nothing.
     pub async fn cancel(&self, node: &str, id: &str) -> Option<String> {
-        let sent = self.http.post(format!("http://{node}/api/jobs/{id}/abort")).send().await;
+        let sent = self
+            .http
+            .post(format!("http://{node}/api/jobs/{id}/abort"))
+            .send()
+            .await;
         let mut answer = None;
         let mut code = 0;
         if let Ok(mut response) = sent {
@@ -83,7 +95,8 @@
                 answer = Some(text(&decode(&body), "status"));
             }
         }
-        self.record.line(format!("user: abort {id} at {node}: {code} {answer:?}"));
+        self.record
+            .line(format!("user: abort {id} at {node}: {code} {answer:?}"));
         answer
     }
 
