Log the versions that a cancellation and a record write depend on

Cause: the logs told that a job was cancelled, not which version of its record the write replaced, nor what the replica held when the condition was made.

Change: log fields only. 'recording cancellation' (debug) has the verdict read, the replicated verdict and the version of the condition; 'job cancelled' the replaced version and the revision; 'record write completed' the revision. TransactionOutcome::revision serves these and the cluster's records.

--- a/src/actors/scheduler.rs
+++ b/src/actors/scheduler.rs
@@ -263,7 +263,8 @@
             .send(Commit(write.transaction, write.priority))
             .await;
         let outcome = response.unwrap_or(TransactionOutcome::Failed(StoreError::OutcomeUnknown));
-        debug!(kind = ?write.kind, urgency = ?write.priority, "record write completed");
+        let revision = outcome.revision();
+        debug!(kind = ?write.kind, urgency = ?write.priority, revision, "record write completed");
         if !outcome.committed() {
             debug!(kind = ?write.kind, ?outcome, "record write failed");
             *self.write_backoff_until.lock() = Some(Instant::now() + WRITE_RETRY_DELAY);
--- a/src/api/users/cancel.rs
+++ b/src/api/users/cancel.rs
@@ -4,7 +4,7 @@
 
 use actix::Addr;
 use actix_web::{web, HttpResponse};
-use tracing::info;
+use tracing::{debug, info};
 
 use super::status::{read_verdict, state_response, store_failure};
 use super::{no_such_job, StoreAddr, WRITE_TIMEOUT};
@@ -53,7 +53,7 @@
         if verdict != Verdict::Accepted {
             return state_response(shared, id, verdict, tasks);
         }
-        let (version, inline_description) = {
+        let (version, replicated_verdict, inline_description) = {
             let replica = shared.replica.lock();
             let replicated = replica
                 .descriptions
@@ -61,9 +61,11 @@
                 .filter(|description| !description.has_own_key);
             (
                 replica.job_version(id),
+                replica.jobs.get(id).map(|job| job.record.verdict),
                 replicated.map(|description| description.record.clone()),
             )
         };
+        debug!(job = %id, read = ?verdict, replicated = ?replicated_verdict, version, "recording cancellation");
         // The record keeps the job's specification until every task is confirmed terminated.
         let record = JobRecord {
             verdict: Verdict::Cancelled,
@@ -76,8 +78,8 @@
         );
         let outcome = store.send(Commit(transaction, WritePriority::High)).await;
         match outcome.unwrap_or(TransactionOutcome::Failed(StoreError::OutcomeUnknown)) {
-            TransactionOutcome::Committed(_) => {
-                info!(job = %id, "job cancelled");
+            TransactionOutcome::Committed(revision) => {
+                info!(job = %id, replaced = version, revision, "job cancelled");
                 shared.cancellation_recorded(id);
                 return state_response(shared, id, Verdict::Cancelled, tasks);
             }
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -382,10 +382,7 @@
     pub fn apply_write_outcome(&mut self, kind: &RecordKind, outcome: &TransactionOutcome) {
         self.scheduling_needed = true;
         let committed = outcome.committed();
-        let version = match outcome {
-            TransactionOutcome::Committed(revision) => Some(*revision),
-            _ => None,
-        };
+        let version = outcome.revision();
         match kind {
             RecordKind::Dispatch { key, entries } => {
                 self.dispatch_written(key, entries, committed, version);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -191,6 +191,14 @@
         matches!(self, TransactionOutcome::Committed(_))
     }
 
+    /// The revision of the commit; `None` if no commit is confirmed.
+    pub fn revision(&self) -> Option<u64> {
+        match self {
+            TransactionOutcome::Committed(revision) => Some(*revision),
+            TransactionOutcome::Conflict { .. } | TransactionOutcome::Failed(_) => None,
+        }
+    }
+
     /// The error of a failed transaction; `None` for a commit or a conflict.
     pub fn failure(&self) -> Option<&StoreError> {
         match self {
