Decide a cancellation and its condition by one state of the replica

Cause: record_cancellation decided by a verdict from a linearizable read and took the version for its condition from the replica later. The watch had put the record 'done' into the replica in between, so that the condition held and the transaction replaced 'done'.

Fix: store::cancellation::plan takes verdict, description and version from one state of the replica. A final record is never replaced: the condition names the version of an accepted one. Replica::job_version, a version without its verdict, is gone.

--- a/src/api/users/cancel.rs
+++ b/src/api/users/cancel.rs
@@ -8,14 +8,11 @@
 
 use super::status::{read_verdict, state_response, store_failure};
 use super::{no_such_job, StoreAddr, WRITE_TIMEOUT};
-use crate::model::{JobId, Verdict};
+use crate::model::JobId;
 use crate::service::Shared;
 use crate::store::actor::{Commit, StoreActor};
-use crate::store::keys::{self, JobRecord};
-use crate::store::replica::JobVerdict;
-use crate::store::{
-    to_value, Change, Condition, StoreError, Transaction, TransactionOutcome, WritePriority,
-};
+use crate::store::cancellation::{self, CancellationPlan};
+use crate::store::{StoreError, TransactionOutcome, WritePriority};
 
 /// Maximum number of transactions per cancellation; each attempt after a conflict reads the record again.
 const ATTEMPTS_MAX: usize = 3;
@@ -45,43 +42,32 @@
     id: &JobId,
 ) -> HttpResponse {
     for _ in 0..ATTEMPTS_MAX {
-        let JobVerdict { verdict, tasks } = match read_verdict(shared, store, id).await {
-            Ok(Some(found)) => found,
+        let read = match read_verdict(shared, store, id).await {
+            Ok(Some(read)) => read,
             Ok(None) => return no_such_job(),
             Err(error) => return store_failure(&error),
         };
-        if verdict != Verdict::Accepted {
-            return state_response(shared, id, verdict, tasks);
+        if read.is_final() {
+            return state_response(shared, id, read);
         }
-        let (version, replicated_verdict, inline_description) = {
-            let replica = shared.replica.lock();
-            let replicated = replica
-                .descriptions
-                .get(id)
-                .filter(|description| !description.has_own_key);
-            (
-                replica.job_version(id),
-                replica.jobs.get(id).map(|job| job.record.verdict),
-                replicated.map(|description| description.record.clone()),
-            )
+        // The read shows that the job exists and brings the replica up to date. What is written follows from
+        // the replica alone: the process may have been paused since the read, and the job may have ended.
+        let plan = cancellation::plan(&shared.replica.lock(), id);
+        let write = match plan {
+            CancellationPlan::Write(write) => write,
+            CancellationPlan::AlreadyFinal(verdict) => return state_response(shared, id, verdict),
+            // The next attempt's read brings the record into the replica.
+            CancellationPlan::NotReplicated => continue,
         };
-        debug!(job = %id, read = ?verdict, replicated = ?replicated_verdict, version, "recording cancellation");
-        // The record keeps the job's specification until every task is confirmed terminated.
-        let record = JobRecord {
-            verdict: Verdict::Cancelled,
-            tasks,
-            description: inline_description,
-        };
-        let transaction = Transaction::new(
-            vec![Condition::new(keys::job(id), version)],
-            vec![Change::put(keys::job(id), to_value(&record))],
-        );
-        let outcome = store.send(Commit(transaction, WritePriority::High)).await;
+        let replaced = write.replaced_version;
+        debug!(job = %id, replaced, "recording cancellation");
+        let commit = Commit(write.transaction, WritePriority::High);
+        let outcome = store.send(commit).await;
         match outcome.unwrap_or(TransactionOutcome::Failed(StoreError::OutcomeUnknown)) {
             TransactionOutcome::Committed(revision) => {
-                info!(job = %id, replaced = version, revision, "job cancelled");
+                info!(job = %id, replaced, revision, "job cancelled");
                 shared.cancellation_recorded(id);
-                return state_response(shared, id, Verdict::Cancelled, tasks);
+                return state_response(shared, id, write.verdict);
             }
             // Another write changed the record first. The next attempt reads it again.
             TransactionOutcome::Conflict { .. } => {}
--- a/src/api/users/status.rs
+++ b/src/api/users/status.rs
@@ -20,11 +20,9 @@
 /// The status of a job as reported to its user. If the replica now has a final verdict, it replaces the given
 /// one: the process may have been paused since the given one was read, and another controller may have
 /// responded with the final one.
-pub(super) fn job_state(shared: &Shared, id: &JobId, verdict: Verdict, tasks: u32) -> JobState {
+pub(super) fn job_state(shared: &Shared, id: &JobId, given: JobVerdict) -> JobState {
     let replicated = shared.replica.lock().jobs.get(id).map(|job| job.record);
-    let JobVerdict { verdict, tasks } = replicated
-        .filter(JobVerdict::is_final)
-        .unwrap_or(JobVerdict { verdict, tasks });
+    let JobVerdict { verdict, tasks } = replicated.filter(JobVerdict::is_final).unwrap_or(given);
     let (done, running) = match verdict {
         Verdict::Done => (tasks, 0),
         Verdict::Cancelled => (0, 0),
@@ -86,20 +84,15 @@
     absent: impl FnOnce() -> HttpResponse,
 ) -> HttpResponse {
     match read {
-        Ok(Some(JobVerdict { verdict, tasks })) => state_response(shared, id, verdict, tasks),
+        Ok(Some(verdict)) => state_response(shared, id, verdict),
         Ok(None) => absent(),
         Err(error) => store_failure(&error),
     }
 }
 
 /// Builds the response that reports a job's status.
-pub(super) fn state_response(
-    shared: &Shared,
-    id: &JobId,
-    verdict: Verdict,
-    tasks: u32,
-) -> HttpResponse {
-    cbor_response(StatusCode::OK, &job_state(shared, id, verdict, tasks))
+pub(super) fn state_response(shared: &Shared, id: &JobId, verdict: JobVerdict) -> HttpResponse {
+    cbor_response(StatusCode::OK, &job_state(shared, id, verdict))
 }
 
 /// Builds the error response for an operation on the key-value store that failed or has no known outcome.
--- a/src/api/users/submit.rs
+++ b/src/api/users/submit.rs
@@ -16,6 +16,7 @@
 use crate::service::Shared;
 use crate::store::actor::{Commit, StoreActor};
 use crate::store::keys::{self, JobDescription, JobRecord};
+use crate::store::replica::JobVerdict;
 use crate::store::{
     to_value, Change, Condition, StoreError, Transaction, TransactionOutcome, WritePriority,
 };
@@ -118,7 +119,7 @@
     } else {
         WritePriority::High
     };
-    let job = JobRecord {
+    let accepted = JobRecord {
         verdict: Verdict::Accepted,
         tasks,
         description: Some(JobDescription {
@@ -130,14 +131,14 @@
     };
     let transaction = Transaction::new(
         vec![Condition::new(keys::job(&id), 0)],
-        vec![Change::put(keys::job(&id), to_value(&job))],
+        vec![Change::put(keys::job(&id), to_value(&accepted))],
     );
     let outcome = store.send(Commit(transaction, write_priority)).await;
     match outcome.unwrap_or(TransactionOutcome::Failed(StoreError::OutcomeUnknown)) {
         TransactionOutcome::Committed(_) => {
             info!(job = %id, tasks, "job accepted");
-            let accepted = job_state(shared, &id, Verdict::Accepted, tasks);
-            cbor_response(StatusCode::CREATED, &accepted)
+            let state = job_state(shared, &id, JobVerdict::from_record(&accepted));
+            cbor_response(StatusCode::CREATED, &state)
         }
         TransactionOutcome::Conflict { .. } => existing_job(shared, store, &id).await,
         TransactionOutcome::Failed(error) => {
--- /dev/null
+++ b/src/store/cancellation.rs
@@ -0,0 +1,63 @@
+//! The write that records a job's cancellation.
+//!
+//! The verdict that allows the write and the version that the write is conditional on are taken from the same
+//! state of the replica. A verdict that was read earlier, or by another request, must not be combined with a
+//! later version: the condition would then hold for a record that the decision did not take into account.
+
+use super::keys::{self, JobRecord};
+use super::replica::{JobVerdict, Replica};
+use super::{to_value, Change, Condition, Transaction};
+use crate::model::{JobId, Verdict};
+
+/// What the cancellation of a job requires, by one state of the replica.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CancellationPlan {
+    /// The job has this final verdict, so there is nothing to write.
+    AlreadyFinal(JobVerdict),
+    /// The job can be cancelled by this write.
+    Write(CancellationWrite),
+    /// The replica has no record of the job; it may have been accepted after the replica's revision.
+    NotReplicated,
+}
+
+/// A transaction that cancels a job, unless the job's record has changed.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CancellationWrite {
+    /// The version of the record that the transaction replaces, on which it is conditional.
+    pub replaced_version: u64,
+    /// The verdict after the commit.
+    pub verdict: JobVerdict,
+    /// The transaction.
+    pub transaction: Transaction,
+}
+
+/// Plans the cancellation of a job.
+pub fn plan(replica: &Replica, id: &JobId) -> CancellationPlan {
+    let Some(job) = replica.jobs.get(id) else {
+        return CancellationPlan::NotReplicated;
+    };
+    if job.record.is_final() {
+        return CancellationPlan::AlreadyFinal(job.record);
+    }
+    let verdict = JobVerdict {
+        verdict: Verdict::Cancelled,
+        tasks: job.record.tasks,
+    };
+    // The record keeps the job's description until every task is confirmed terminated.
+    let description = replica.descriptions.get(id);
+    let inline_description = description.filter(|description| !description.has_own_key);
+    let record = JobRecord {
+        verdict: verdict.verdict,
+        tasks: verdict.tasks,
+        description: inline_description.map(|description| description.record.clone()),
+    };
+    let key = keys::job(id);
+    CancellationPlan::Write(CancellationWrite {
+        replaced_version: job.version,
+        verdict,
+        transaction: Transaction::new(
+            vec![Condition::new(key.clone(), job.version)],
+            vec![Change::put(key, to_value(&record))],
+        ),
+    })
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 //! changes. Reads are served from the replica, after a linearizable read has brought it up to date.
 
 pub mod actor;
+pub mod cancellation;
 pub mod client;
 mod commit_queue;
 mod commit_sender;
@@ -138,7 +139,7 @@
 }
 
 /// A compare-and-swap transaction: the store applies all changes atomically if all conditions hold.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Transaction {
     /// The conditions, all of which must hold.
     pub conditions: Vec<Condition>,
--- a/src/store/replica.rs
+++ b/src/store/replica.rs
@@ -335,11 +335,6 @@
         }
     }
 
-    /// The version of a job's record; 0 if the replica has none.
-    pub fn job_version(&self, id: &JobId) -> u64 {
-        self.jobs.get(id).map_or(0, |job| job.version)
-    }
-
     /// Looks up the verdict on a job.
     pub fn verdict(&self, id: &JobId) -> VerdictState {
         match self.jobs.get(id) {
--- a/src/store/replica/tests.rs
+++ b/src/store/replica/tests.rs
@@ -39,9 +39,8 @@
     let last = JobId::parse("wk-000149").unwrap();
     assert_eq!(replica.jobs[&last].record.verdict, Verdict::Done);
     let first = JobId::parse("wk-000000").unwrap();
-    assert_eq!(
-        replica.job_version(&first),
-        0,
+    assert!(
+        !replica.jobs.contains_key(&first),
         "the oldest final verdict is evicted"
     );
     assert!(replica.final_verdicts.len() <= 10);
--- a/tests/common/simulation.rs
+++ b/tests/common/simulation.rs
@@ -51,6 +51,7 @@
 use knotlanding::policy::SchedulingPolicy;
 use knotlanding::sched::{self, Decisions};
 use knotlanding::service::Shared;
+use knotlanding::store::cancellation::{self, CancellationPlan};
 use knotlanding::store::keys::{self, JobDescription, JobRecord, LeaderRecord, TermRecord};
 use knotlanding::store::replica::VerdictState;
 use knotlanding::store::{
@@ -112,6 +113,8 @@
     heartbeat_copies: (f64, bool, f64),
     /// Share of new jobs that are cancelled when their last task completes, and the end of the fault.
     cancel_at_completion: (f64, f64),
+    /// Maximum delay of a cancellation's handler in seconds, and the end of the fault.
+    handler_delay: (f64, f64),
     batch_faults: (BatchFaults, f64),
     /// Follower whose batches are lost, and the end of the fault.
     isolated_follower: Option<(usize, f64)>,
@@ -180,6 +183,7 @@
             late_writes: (0.0, false, 0.0),
             heartbeat_copies: (0.0, false, 0.0),
             cancel_at_completion: (0.0, 0.0),
+            handler_delay: (0.0, 0.0),
             batch_faults: (BatchFaults::default(), 0.0),
             isolated_follower: None,
             links_enabled,
--- a/tests/common/simulation/controllers.rs
+++ b/tests/common/simulation/controllers.rs
@@ -176,41 +176,54 @@
                 let verdict = known_verdict(verdict);
                 self.observe_verdict(&id, sent_s, verdict);
             }
-            RequestPurpose::CancelRead(id) if succeeded => self.commit_cancel(index, &id, sent_s),
+            RequestPurpose::CancelRead(id) if succeeded => {
+                let verdict = shared.replica.lock().verdict(&JobId::parse(&id).unwrap());
+                self.handle_cancel_read(index, id, known_verdict(verdict), sent_s);
+            }
             _ => {}
         }
     }
 
-    pub(super) fn commit_cancel(&mut self, index: usize, id: &str, sent_s: f64) {
+    /// Passes the verdict that was read to the handler of the cancellation, which may be delayed.
+    fn handle_cancel_read(&mut self, index: usize, id: String, read: Option<Verdict>, sent_s: f64) {
+        let (delay_max_s, until) = self.handler_delay;
+        if self.now_s >= until {
+            self.commit_cancel(index, &id, read, sent_s);
+            return;
+        }
+        let delay_s = self.rng.random_range(0.0..delay_max_s);
+        let incarnation = self.controllers[index].incarnation;
+        let resumed = Message::ResumedCancellation(index, incarnation, id, read, sent_s);
+        self.deliver_after(delay_s, resumed);
+    }
+
+    /// Continues a cancellation whose read showed `read`, possibly some time after the read.
+    pub(super) fn commit_cancel(
+        &mut self,
+        index: usize,
+        id: &str,
+        read: Option<Verdict>,
+        sent_s: f64,
+    ) {
+        if read != Some(Verdict::Accepted) {
+            self.observe_verdict(id, sent_s, read);
+            return;
+        }
         let job = JobId::parse(id).unwrap();
         let shared = self.controllers[index].shared.clone();
-        let (verdict, version, description) = {
-            let replica = shared.replica.lock();
-            let description = replica
-                .descriptions
-                .get(&job)
-                .map(|replicated| replicated.record.clone());
-            let verdict = known_verdict(replica.verdict(&job));
-            (verdict, replica.job_version(&job), description)
-        };
-        if verdict != Some(Verdict::Accepted) {
-            self.observe_verdict(id, sent_s, verdict);
-            return;
+        let plan = cancellation::plan(&shared.replica.lock(), &job);
+        match plan {
+            CancellationPlan::Write(write) => self.send_store_request(
+                index,
+                StoreRequest::Commit(write.transaction),
+                RequestPurpose::Cancel(id.to_owned()),
+            ),
+            CancellationPlan::AlreadyFinal(found) => {
+                self.observe_verdict(id, sent_s, Some(found.verdict));
+            }
+            // The user repeats the cancellation.
+            CancellationPlan::NotReplicated => {}
         }
-        let record = JobRecord {
-            verdict: Verdict::Cancelled,
-            tasks: self.jobs[id].spec.tasks,
-            description,
-        };
-        let transaction = Transaction {
-            conditions: vec![Condition::new(keys::job(&job), version)],
-            changes: vec![Change::put(keys::job(&job), to_value(&record))],
-        };
-        self.send_store_request(
-            index,
-            StoreRequest::Commit(transaction),
-            RequestPurpose::Cancel(id.to_owned()),
-        );
     }
 
     /// Sends the election transaction under a newly granted lease.
--- a/tests/common/simulation/delivery.rs
+++ b/tests/common/simulation/delivery.rs
@@ -33,6 +33,9 @@
     /// time the command was sent.
     DirectCommandResponse(usize, u64, Box<Heartbeat>, u64, Instant),
     Cancellation(usize, Vec<JobId>),
+    /// Controller that handles a user's cancellation and its incarnation, the job, the verdict that the
+    /// handler has read, and the time at which the read was sent.
+    ResumedCancellation(usize, u64, String, Option<Verdict>, f64),
     /// Request to the cloud from a controller and its incarnation.
     Release(usize, u64, Vec<MachineId>),
     /// Response to the controller and its incarnation.
@@ -80,10 +83,8 @@
                     self.handle_store_response(index, result, purpose, sent_s);
                 }
             }
-            Message::Cancellation(index, jobs) => {
-                if self.accepts(index, None, || Message::Cancellation(index, jobs.clone())) {
-                    self.controllers[index].shared.cancel_tasks(&jobs);
-                }
+            Message::Cancellation(..) | Message::ResumedCancellation(..) => {
+                self.deliver_cancellation(message)
             }
             Message::Heartbeat(index, body, number) => self.deliver_heartbeat(index, body, number),
             Message::Batch(to, bytes, from, incarnation, id) => {
@@ -121,6 +122,25 @@
         }
     }
 
+    /// Delivers a peer's notification of cancellations, or resumes a delayed handler of one.
+    fn deliver_cancellation(&mut self, message: Message) {
+        let (index, incarnation) = match &message {
+            Message::Cancellation(index, _) => (*index, None),
+            Message::ResumedCancellation(index, incarnation, ..) => (*index, Some(*incarnation)),
+            _ => return,
+        };
+        if !self.accepts(index, incarnation, || message.clone()) {
+            return;
+        }
+        match message {
+            Message::Cancellation(_, jobs) => self.controllers[index].shared.cancel_tasks(&jobs),
+            Message::ResumedCancellation(_, _, id, read, sent_s) => {
+                self.commit_cancel(index, &id, read, sent_s);
+            }
+            _ => {}
+        }
+    }
+
     /// Delivers a request to the cloud, or its response to a controller.
     fn deliver_cloud(&mut self, message: Message) {
         match message {
--- a/tests/common/simulation/faults.rs
+++ b/tests/common/simulation/faults.rs
@@ -42,6 +42,9 @@
     LeaderCutOff,
     /// Users cancel this many jobs.
     CancelJobs(usize),
+    /// The handlers of users' cancellations are delayed by up to this many seconds between the read of the
+    /// verdict and what follows from it.
+    DelayCancellations(f64),
     /// Users cancel this share of the jobs when the last task completes.
     CancelAtCompletion(f64),
     /// Batches of forwarded heartbeats are lost, delayed or duplicated.
@@ -121,6 +124,7 @@
             Fault::WritesRefused => self.writes_refused_until = until,
             Fault::LeaderCutOff => self.cut_off = self.leader().map(|leader| (leader, until)),
             Fault::CancelJobs(count) => self.cancel_random_jobs(count),
+            Fault::DelayCancellations(delay_max_s) => self.handler_delay = (delay_max_s, until),
             Fault::CancelAtCompletion(share) => {
                 self.cancel_at_completion = (share, until);
                 let ids: Vec<String> = self.jobs.keys().cloned().collect();
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -249,6 +249,24 @@
     }
 }
 
+/// As above, with handlers that are delayed after their read, as by a pause of the process: guards against a
+/// cancellation that was decided by the verdict `accepted` and replaces the later verdict `done`.
+#[test]
+fn invariants_hold_when_cancellations_are_delayed_as_their_jobs_complete() {
+    for unanswered_share in [0.0, 0.3] {
+        let runs = run_seeds(seed_range(), |offset_s| {
+            vec![
+                timed_fault(3.0, 70.0, Fault::CancelAtCompletion(0.7)),
+                timed_fault(3.0, 70.0, Fault::DelayCancellations(2.0)),
+                timed_fault(5.0, 70.0, late_writes(unanswered_share, true)),
+                timed_fault(30.0 + offset_s, 0.0, Fault::CancelJobs(3)),
+            ]
+        });
+        assert!(runs.iter().any(|run| run.ended_job_counts().1 > 0));
+        assert!(runs.iter().any(|run| run.ended_job_counts().0 > 0));
+    }
+}
+
 /// The cloud lists a terminated machine as running for another 30 s, and 40 % of the transactions are applied
 /// 2 to 12 s late. The tasks of the machine must be restarted, but none may run twice.
 #[test]
