Read operators' settings and their version in one look

What callers saw: GET /admin/settings answered with the version of the newest record and the settings of the one before; drain wrote such a pair.

Cause: the version came from the replica, the settings from Shared::operator, which is updated a moment later on another thread.

Fix: VersionedSettings::of_replica takes both under one lock of the replica; GET and drain use it.

--- a/src/api/admin/machines.rs
+++ b/src/api/admin/machines.rs
@@ -4,7 +4,7 @@
 
 use super::settings::{write_settings, VersionedSettings};
 use super::views::MachineStatus;
-use super::{cluster_response, StoreAddr};
+use super::{cluster_response, store_unavailable, StoreAddr};
 use crate::model::MachineId;
 use crate::service::Shared;
 
@@ -25,11 +25,14 @@
     store: StoreAddr,
     path: web::Path<String>,
 ) -> HttpResponse {
-    let version = shared.replica.lock().settings.version;
-    let mut settings = shared.operator.lock().clone();
+    let current = VersionedSettings::of_replica(&shared.replica.lock());
+    let Some(mut requested) = current else {
+        return store_unavailable();
+    };
     let name = path.into_inner();
-    if !settings.drained.contains(&name) {
-        settings.drained.push(name);
+    let drained = &mut requested.settings.drained;
+    if !drained.contains(&name) {
+        drained.push(name);
     }
-    write_settings(&shared, &store, VersionedSettings { version, settings }).await
+    write_settings(&shared, &store, requested).await
 }
--- a/src/api/admin/settings.rs
+++ b/src/api/admin/settings.rs
@@ -13,6 +13,7 @@
 use crate::service::operator::OperatorSettings;
 use crate::service::Shared;
 use crate::store::actor::{Commit, StoreActor};
+use crate::store::replica::Replica;
 use crate::store::{
     keys, to_value, Change, Condition, Transaction, TransactionOutcome, WritePriority,
 };
@@ -29,17 +30,23 @@
     pub settings: OperatorSettings,
 }
 
+impl VersionedSettings {
+    /// The settings and their version from one state of the replica; `None` until it is loaded.
+    pub(super) fn of_replica(replica: &Replica) -> Option<Self> {
+        replica.loaded.then(|| Self {
+            version: replica.settings.version,
+            settings: OperatorSettings::of_replica(replica),
+        })
+    }
+}
+
 /// `GET /admin/settings`: the operators' settings with their version.
 pub async fn settings(shared: web::Data<Shared>) -> HttpResponse {
-    let (loaded, version) = {
-        let replica = shared.replica.lock();
-        (replica.loaded, replica.settings.version)
-    };
-    if !loaded {
-        return store_unavailable();
+    let current = VersionedSettings::of_replica(&shared.replica.lock());
+    match current {
+        Some(current) => HttpResponse::Ok().json(current),
+        None => store_unavailable(),
     }
-    let settings = shared.operator.lock().clone();
-    HttpResponse::Ok().json(VersionedSettings { version, settings })
 }
 
 /// `PUT /admin/settings`: replaces the operators' settings.
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -58,7 +58,8 @@
     pub summary_cache: Mutex<SummaryCache>,
     /// The states of this process's links, and the evidence for them.
     pub links: LinkMonitor,
-    /// The operators' settings, as the replica last showed them.
+    /// The operators' settings, as the replica last showed them. They change a moment later than the replica,
+    /// so that they must not be combined with the version in it.
     pub operator: Mutex<OperatorSettings>,
     /// The number of connections open on the public address.
     pub connections: ConnectionCount,
--- a/src/service/operator.rs
+++ b/src/service/operator.rs
@@ -4,6 +4,8 @@
 use thiserror::Error;
 
 use crate::fleet::IdlePolicy;
+use crate::store::from_value;
+use crate::store::replica::Replica;
 
 /// The settings that operators change at run time, kept in the key-value store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -52,6 +54,12 @@
 }
 
 impl OperatorSettings {
+    /// The settings in the replica; the defaults if none are recorded or the record cannot be decoded.
+    pub fn of_replica(replica: &Replica) -> Self {
+        let record = replica.settings.record.as_ref();
+        record.and_then(from_value).unwrap_or_default()
+    }
+
     /// Checks that every field is in its range, and that the settings fit into one value of `value_kb`
     /// KiB in the key-value store.
     pub fn validate(&self, value_kb: f64) -> Result<(), FieldOutOfRange> {
--- a/src/service/store_observer.rs
+++ b/src/service/store_observer.rs
@@ -7,7 +7,6 @@
 
 use super::operator::OperatorSettings;
 use super::Shared;
-use crate::store::from_value;
 use crate::store::observer::StoreObserver;
 use crate::store::replica::{Replica, ReplicaChange};
 
@@ -80,9 +79,7 @@
     }
 
     fn update_operator_settings(&self, replica: &Replica) {
-        let stored = replica.settings.record.as_ref().and_then(from_value);
-        let settings: OperatorSettings = stored.unwrap_or_default();
-        *self.operator.lock() = settings;
+        *self.operator.lock() = OperatorSettings::of_replica(replica);
     }
 
     fn update_election(&self, replica: &Replica) {
