--- a/src/api/users/cancel.rs
+++ b/src/api/users/cancel.rs
@@ -12,6 +12,7 @@
 use crate::service::Shared;
 use crate::store::actor::{Commit, StoreActor};
 use crate::store::cancellation::{self, CancellationPlan};
+use crate::store::replica::JobVerdict;
 use crate::store::{StoreError, TransactionOutcome, WritePriority};
 
 /// Maximum number of transactions per cancellation; each attempt after a conflict reads the record again.
@@ -61,13 +62,13 @@
         };
         let replaced = write.replaced_version;
         debug!(job = %id, replaced, "recording cancellation");
-        let commit = Commit(write.transaction, WritePriority::High);
+        let commit = Commit(write.transaction(id), WritePriority::High);
         let outcome = store.send(commit).await;
         match outcome.unwrap_or(TransactionOutcome::Failed(StoreError::OutcomeUnknown)) {
             TransactionOutcome::Committed(revision) => {
                 info!(job = %id, replaced, revision, "job cancelled");
                 shared.cancellation_recorded(id);
-                return state_response(shared, id, write.verdict);
+                return state_response(shared, id, JobVerdict::from_record(&write.record));
             }
             // Another write changed the record first. The next attempt reads it again.
             TransactionOutcome::Conflict { .. } => {}
--- a/src/store/cancellation.rs
+++ b/src/store/cancellation.rs
@@ -10,25 +10,34 @@
 use crate::model::{JobId, Verdict};
 
 /// What the cancellation of a job requires, by one state of the replica.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub enum CancellationPlan {
     /// The job has this final verdict, so there is nothing to write.
     AlreadyFinal(JobVerdict),
-    /// The job can be cancelled by this write.
-    Write(CancellationWrite),
+    /// The job can be cancelled by this write, which is encoded after the lock on the replica is released.
+    Write(Box<CancellationWrite>),
     /// The replica has no record of the job; it may have been accepted after the replica's revision.
     NotReplicated,
 }
 
-/// A transaction that cancels a job, unless the job's record has changed.
-#[derive(Debug, Clone, PartialEq)]
+/// A write that cancels a job, unless the job's record has changed.
+#[derive(Debug, Clone)]
 pub struct CancellationWrite {
-    /// The version of the record that the transaction replaces, on which it is conditional.
+    /// The version of the record that is replaced, on which the write is conditional.
     pub replaced_version: u64,
-    /// The verdict after the commit.
-    pub verdict: JobVerdict,
-    /// The transaction.
-    pub transaction: Transaction,
+    /// The new record.
+    pub record: JobRecord,
+}
+
+impl CancellationWrite {
+    /// Encodes the write for the job that it was planned for.
+    pub fn transaction(&self, id: &JobId) -> Transaction {
+        let key = keys::job(id);
+        Transaction::new(
+            vec![Condition::new(key.clone(), self.replaced_version)],
+            vec![Change::put(key, to_value(&self.record))],
+        )
+    }
 }
 
 /// Plans the cancellation of a job.
@@ -39,25 +48,16 @@
     if job.record.is_final() {
         return CancellationPlan::AlreadyFinal(job.record);
     }
-    let verdict = JobVerdict {
-        verdict: Verdict::Cancelled,
-        tasks: job.record.tasks,
-    };
     // The record keeps the job's description until every task is confirmed terminated.
     let description = replica.descriptions.get(id);
     let inline_description = description.filter(|description| !description.has_own_key);
     let record = JobRecord {
-        verdict: verdict.verdict,
-        tasks: verdict.tasks,
+        verdict: Verdict::Cancelled,
+        tasks: job.record.tasks,
         description: inline_description.map(|description| description.record.clone()),
     };
-    let key = keys::job(id);
-    CancellationPlan::Write(CancellationWrite {
+    CancellationPlan::Write(Box::new(CancellationWrite {
         replaced_version: job.version,
-        verdict,
-        transaction: Transaction::new(
-            vec![Condition::new(key.clone(), job.version)],
-            vec![Change::put(key, to_value(&record))],
-        ),
-    })
+        record,
+    }))
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -139,7 +139,7 @@
 }
 
 /// A compare-and-swap transaction: the store applies all changes atomically if all conditions hold.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default)]
 pub struct Transaction {
     /// The conditions, all of which must hold.
     pub conditions: Vec<Condition>,
--- a/tests/common/simulation/controllers.rs
+++ b/tests/common/simulation/controllers.rs
@@ -215,7 +215,7 @@
         match plan {
             CancellationPlan::Write(write) => self.send_store_request(
                 index,
-                StoreRequest::Commit(write.transaction),
+                StoreRequest::Commit(write.transaction(&job)),
                 RequestPurpose::Cancel(id.to_owned()),
             ),
             CancellationPlan::AlreadyFinal(found) => {
