Apply the outcome of a heartbeat batch only to its own leader's path

Cause: batches in flight, queue and last failure were kept without the leader they belonged to; the outcome decided under one leader was applied to the state under the next.

Fix: batches are counted for the leader of the newest batch, queued heartbeats have the term they were queued for, and a failure touches only what belongs to its leader or an earlier one.

Tests: three in src/forwarding/tests.rs with two leaders; they failed before (None for Some(1), twice; Forward for Reject).

--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -158,7 +158,10 @@
         return HeartbeatOutcome::Answered(response);
     }
     shared.links.record_worker_heartbeat(&heartbeat, now);
-    let queued = shared.forwarding.lock().enqueue(heartbeat, body.len(), now);
+    let queued = shared
+        .forwarding
+        .lock()
+        .enqueue(heartbeat, leader, body.len(), now);
     match queued {
         Ok(pending) => {
             shared.wake_ups.forwarding.notify_one();
--- a/src/forwarding/mod.rs
+++ b/src/forwarding/mod.rs
@@ -16,7 +16,7 @@
 use self::messages::{ForwardedAnswer, ForwardedHeartbeat};
 use crate::config::Settings;
 use crate::leader::LeaderHint;
-use crate::model::FencingToken;
+use crate::model::{FencingToken, Term};
 use crate::wire::{Heartbeat, HeartbeatResponse, BODY_BYTES_MAX};
 
 /// Longest time after the arrival of a heartbeat at which a response is relayed. The agent drops a
@@ -135,6 +135,8 @@
 pub struct QueuedHeartbeat {
     /// The heartbeat, in the form in which it is forwarded.
     pub heartbeat: ForwardedHeartbeat,
+    /// The term of the leader for which it was queued. It may be sent to a later leader.
+    leader_term: Term,
     body_bytes: usize,
     received_at: Instant,
     token: FencingToken,
@@ -191,13 +193,24 @@
     failed_at: Instant,
 }
 
+/// The batches in flight to a leader.
+#[derive(Debug)]
+struct BatchesInFlight {
+    leader: LeaderHint,
+    count: usize,
+}
+
 /// The queue of heartbeats to forward, with the state of the path to the leader.
+///
+/// The outcome of a batch may arrive seconds after the next leader is known. It changes only what belongs to
+/// the leader of that batch.
 #[derive(Debug)]
 pub struct ForwardingQueue {
     limits: QueueLimits,
     queue: VecDeque<QueuedHeartbeat>,
     queued_bytes: usize,
-    in_flight: usize,
+    /// The batches to the leader of the newest batch. Those to a former leader do not count any more.
+    in_flight: Option<BatchesInFlight>,
     /// The failure since which no batch to the same leader has succeeded.
     failure: Option<FailedPath>,
 }
@@ -209,7 +222,7 @@
             limits,
             queue: VecDeque::new(),
             queued_bytes: 0,
-            in_flight: 0,
+            in_flight: None,
             failure: None,
         }
     }
@@ -225,7 +238,7 @@
         }
         let backoff_elapsed =
             now.saturating_duration_since(failed.failed_at) >= failed.failure.backoff();
-        if backoff_elapsed && self.in_flight == 0 {
+        if backoff_elapsed && self.batches_in_flight(leader) == 0 {
             return ForwardingRoute::Forward;
         }
         if failed.failure.allows_redirect() {
@@ -235,10 +248,17 @@
         }
     }
 
-    /// Queues a heartbeat whose request body had `body_bytes` bytes.
+    fn batches_in_flight(&self, leader: &LeaderHint) -> usize {
+        let in_flight = self.in_flight.as_ref();
+        let to_leader = in_flight.filter(|in_flight| in_flight.leader == *leader);
+        to_leader.map_or(0, |in_flight| in_flight.count)
+    }
+
+    /// Queues a heartbeat for this leader; its request body had `body_bytes` bytes.
     pub fn enqueue(
         &mut self,
         heartbeat: Heartbeat,
+        leader: &LeaderHint,
         body_bytes: usize,
         now: Instant,
     ) -> Result<PendingHeartbeat, QueueFull> {
@@ -253,6 +273,7 @@
         self.queued_bytes += body_bytes;
         self.queue.push_back(QueuedHeartbeat {
             heartbeat: heartbeat.into(),
+            leader_term: leader.term,
             body_bytes,
             received_at: now,
             token: FencingToken(token),
@@ -274,7 +295,8 @@
         leader: &LeaderHint,
         now: Instant,
     ) -> Option<Vec<QueuedHeartbeat>> {
-        if self.in_flight >= BATCHES_IN_FLIGHT {
+        let in_flight = self.batches_in_flight(leader);
+        if in_flight >= BATCHES_IN_FLIGHT {
             return None;
         }
         let mut batch = Vec::new();
@@ -295,7 +317,10 @@
         if batch.is_empty() {
             return None;
         }
-        self.in_flight += 1;
+        self.in_flight = Some(BatchesInFlight {
+            leader: leader.clone(),
+            count: in_flight + 1,
+        });
         Some(batch)
     }
 
@@ -319,7 +344,7 @@
 
     /// Records that the leader responded to a batch, which ends the failure on the path to it.
     pub fn record_batch_success(&mut self, leader: &LeaderHint) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+        self.record_batch_end(leader);
         if self
             .failure
             .as_ref()
@@ -329,21 +354,38 @@
         }
     }
 
+    fn record_batch_end(&mut self, leader: &LeaderHint) {
+        let in_flight = self.in_flight.as_mut();
+        if let Some(in_flight) = in_flight.filter(|in_flight| in_flight.leader == *leader) {
+            in_flight.count = in_flight.count.saturating_sub(1);
+        }
+    }
+
     /// Records that a batch to this leader failed. The batch is not repeated, since the leader may have
-    /// accepted it; the heartbeats that wait behind it are dropped as well.
+    /// accepted it; the heartbeats that wait behind it are dropped as well, except those for a later leader.
     pub fn record_batch_failure(
         &mut self,
         leader: &LeaderHint,
         failure: UpstreamFailure,
         now: Instant,
     ) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+        self.record_batch_end(leader);
+        self.drop_queued_up_to(leader.term);
+        let later_failed = self.failure.as_ref();
+        if later_failed.is_some_and(|failed| failed.leader > *leader) {
+            return;
+        }
         self.failure = Some(FailedPath {
             leader: leader.clone(),
             failure,
             failed_at: now,
         });
-        self.drop_queued();
+    }
+
+    /// Drops the heartbeats that were queued for a leader of this term or an earlier one.
+    fn drop_queued_up_to(&mut self, term: Term) {
+        self.queue.retain(|queued| queued.leader_term > term);
+        self.queued_bytes = self.queue.iter().map(|queued| queued.body_bytes).sum();
     }
 }
 
--- a/src/forwarding/tests.rs
+++ b/src/forwarding/tests.rs
@@ -1,5 +1,4 @@
 use super::*;
-use crate::model::Term;
 
 fn leader(term: u64) -> LeaderHint {
     LeaderHint {
@@ -53,9 +52,16 @@
         self.start + Duration::from_millis(ms)
     }
 
+    /// Queues a heartbeat for the leader of term 3.
     fn queue(&mut self, sequence: u64, ms: u64) -> PendingHeartbeat {
+        self.queue_for(3, sequence, ms)
+    }
+
+    fn queue_for(&mut self, term: u64, sequence: u64, ms: u64) -> PendingHeartbeat {
         let (heartbeat, now) = (heartbeat(sequence, FencingToken(0)), self.at(ms));
-        self.forwarding.enqueue(heartbeat, 200, now).unwrap()
+        self.forwarding
+            .enqueue(heartbeat, &leader(term), 200, now)
+            .unwrap()
     }
 
     fn batch(&mut self, term: u64, ms: u64) -> Option<Vec<QueuedHeartbeat>> {
@@ -96,9 +102,10 @@
         .map(|sequence| follower.queue(sequence, 0))
         .collect();
     let now = follower.at(0);
-    let one_more = follower
-        .forwarding
-        .enqueue(heartbeat(9999, FencingToken(0)), 200, now);
+    let one_more =
+        follower
+            .forwarding
+            .enqueue(heartbeat(9999, FencingToken(0)), &leader(3), 200, now);
     assert_eq!(one_more.unwrap_err(), QueueFull);
     assert_eq!(follower.batch(3, 0).unwrap().len(), BATCH_HEARTBEATS_MAX);
     assert_eq!(pending.len(), LIMITS.heartbeats);
@@ -107,10 +114,12 @@
     let mut follower = Follower::new();
     let mut pending = Vec::new();
     let first_rejected = (0..1000).find(|sequence| {
-        let queued =
-            follower
-                .forwarding
-                .enqueue(heartbeat(*sequence, FencingToken(0)), BODY_BYTES_MAX, now);
+        let queued = follower.forwarding.enqueue(
+            heartbeat(*sequence, FencingToken(0)),
+            &leader(3),
+            BODY_BYTES_MAX,
+            now,
+        );
         queued.map(|heartbeat| pending.push(heartbeat)).is_err()
     });
     let accepted_bytes = first_rejected.unwrap() as usize * BODY_BYTES_MAX;
@@ -137,6 +146,47 @@
     assert!(follower.batch(3, 2500).is_none(), "the queue is empty");
 }
 
+/// Guards against heartbeats that are dropped after a change of leader: the failure of a batch to a leader that
+/// hung arrives seconds after the next leader is known, and says nothing about the path to that one.
+#[test]
+fn late_failure_of_a_former_leader_keeps_the_heartbeats_for_the_next_leader() {
+    let mut follower = Follower::new();
+    let former = follower.queue_for(3, 1, 0);
+    let former_batch = follower.batch(3, 0);
+    let waiting = follower.queue_for(4, 2, 2400);
+    follower.fail(UpstreamFailure::Unresponsive, 2500);
+    let batch = follower.batch(4, 2500);
+    assert_eq!(batch.map(|batch| batch.len()), Some(1));
+    drop((former, former_batch, waiting));
+}
+
+/// Guards against heartbeats that wait until the batches to a leader that hung have timed out.
+#[test]
+fn unanswered_batches_to_a_former_leader_do_not_delay_those_to_the_next_leader() {
+    let mut follower = Follower::new();
+    let mut pending = Vec::new();
+    for sequence in 0..BATCHES_IN_FLIGHT as u64 {
+        pending.push(follower.queue_for(3, sequence, 0));
+        std::mem::forget(follower.batch(3, 0));
+    }
+    pending.push(follower.queue_for(4, 9, 100));
+    let batch = follower.batch(4, 110);
+    assert_eq!(batch.map(|batch| batch.len()), Some(1));
+}
+
+/// Guards against a backoff that is forgotten: the failure of the path to the present leader was replaced by a
+/// late failure of a former one.
+#[test]
+fn late_failure_of_a_former_leader_keeps_the_failure_of_the_next_leader() {
+    let mut follower = Follower::new();
+    let now = follower.at(2400);
+    follower
+        .forwarding
+        .record_batch_failure(&leader(4), UpstreamFailure::NotLeading, now);
+    follower.fail(UpstreamFailure::Unresponsive, 2500);
+    assert_eq!(follower.route(4, 2600), ForwardingRoute::Reject);
+}
+
 /// While a follower cannot reach the leader, heartbeats are rejected or redirected at once. After the
 /// backoff one batch at a time probes the path.
 #[test]
@@ -187,7 +237,10 @@
     drop(follower.queue(2, 0));
     let now = follower.at(0);
     let ahead = heartbeat(3, FencingToken::first(Term(9)));
-    let ahead = follower.forwarding.enqueue(ahead, 200, now).unwrap();
+    let ahead = follower
+        .forwarding
+        .enqueue(ahead, &leader(3), 200, now)
+        .unwrap();
     let batch = follower.batch(4, 100).unwrap();
     assert_eq!(batch.len(), 1);
     drop((waiting, ahead));
@@ -209,7 +262,10 @@
     let accepted_token = FencingToken::first(Term(3)).0 + 5;
     let now = follower.at(0);
     let heartbeat = heartbeat(1, FencingToken(accepted_token));
-    let pending = follower.forwarding.enqueue(heartbeat, 200, now).unwrap();
+    let pending = follower
+        .forwarding
+        .enqueue(heartbeat, &leader(3), 200, now)
+        .unwrap();
     let limit_ms = RELAY_TIMEOUT.as_millis() as u64;
     let relayed = |token, ms| pending.relayed_response(accepted(token), follower.at(ms));
     assert!(relayed(accepted_token, limit_ms - 1).is_some());
