Publish decisions of the placement gate in the order in which they were made

No start depends on the gate alone.

Cause: the gate is evaluated under the lock of the link table and published after it is released, by two threads; the published value had no version.

Fix: decisions are numbered; only a later one replaces the published one.

Test: gate_decision_published_late_does_not_replace_a_later_one; it failed before ('the decision is outdated').

--- a/crates/links/src/gate.rs
+++ b/crates/links/src/gate.rs
@@ -39,6 +39,8 @@
 /// The decision of the gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GateDecision {
+    /// Number of decisions before this one, by which a decision that is published late can be recognized.
+    pub number: u64,
     /// Why placements are refused; `None` while the gate is open.
     pub refusal: Option<GateRefusal>,
     /// When the gate opened, closed, or changed the reason of its refusal.
@@ -58,6 +60,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             decision: GateDecision {
+                number: 0,
                 refusal: None,
                 changed_at: now,
             },
@@ -75,6 +78,7 @@
             self.past_refusals += now.saturating_duration_since(self.decision.changed_at);
         }
         self.decision = GateDecision {
+            number: self.decision.number + 1,
             refusal,
             changed_at: now,
         };
--- a/src/service/links/snapshot.rs
+++ b/src/service/links/snapshot.rs
@@ -49,16 +49,22 @@
         self.0.load().gate
     }
 
-    /// Replaces the decision of the placement gate. Returns whether it differs from the one before.
+    /// Replaces the decision of the placement gate by a later one. Returns whether it was replaced: threads that
+    /// evaluate the gate one after the other may publish in another order.
     pub(super) fn set_gate(&self, gate: GateDecision) -> bool {
-        if self.0.load().gate == gate {
+        if self.gate().number >= gate.number {
             return false;
         }
-        self.0.rcu(|before| LinkSnapshot {
-            gate,
-            ..LinkSnapshot::clone(before)
+        let mut is_replaced = false;
+        self.0.rcu(|before| {
+            is_replaced = before.gate.number < gate.number;
+            let mut after = LinkSnapshot::clone(before);
+            if is_replaced {
+                after.gate = gate;
+            }
+            after
         });
-        true
+        is_replaced
     }
 
     /// Adds a decision if it is of another kind than the latest one. Returns whether it was added.
@@ -82,3 +88,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
