Count an unanswered command only in the term in which it was sent

Cause: the missing response was recorded in whatever cluster state the process had by then, without a look at its term.

Fix: Shared::with_cluster_of(term, action) gives the state only if it is that of the term, under one lock; the scheduling loop and the summaries use it wherever a decision was made earlier.

--- a/src/actors/peers/summaries.rs
+++ b/src/actors/peers/summaries.rs
@@ -67,15 +67,13 @@
         };
         self.begin_term(leadership.term);
         let any_peer_needs_full = self.peers.iter().any(|peer| peer.needs_full(now));
-        let (changes, full_state) = {
-            let mut guard = self.shared.cluster.lock();
-            let Some(cluster) = guard.as_mut().filter(|cluster| cluster.term == self.term) else {
-                return;
-            };
-            (
-                cluster.take_summary_changes(),
-                any_peer_needs_full.then(|| cluster.full_summary()),
-            )
+        let contents = self.shared.with_cluster_of(self.term, |cluster| {
+            let changes = cluster.take_summary_changes();
+            let full_state = any_peer_needs_full.then(|| cluster.full_summary());
+            (changes, full_state)
+        });
+        let Some((changes, full_state)) = contents else {
+            return;
         };
         self.last_number += 1;
         let changes = self.encode(changes, false);
--- a/src/actors/scheduler.rs
+++ b/src/actors/scheduler.rs
@@ -145,13 +145,9 @@
             return;
         }
         info!(?missed, "scheduling resumed after a pause");
-        let mut guard = self.shared.cluster.lock();
-        if let Some(cluster) = guard
-            .as_mut()
-            .filter(|cluster| cluster.term == leadership.term)
-        {
+        self.shared.with_cluster_of(leadership.term, |cluster| {
             cluster.resume_after_pause(missed, now);
-        }
+        });
     }
 
     /// Runs one scheduling cycle, writes the records it needs and sends its direct commands.
@@ -247,11 +243,9 @@
             return Vec::new();
         }
         let replica = self.shared.replica.lock();
-        let mut guard = self.shared.cluster.lock();
-        let cluster = guard
-            .as_mut()
-            .filter(|cluster| cluster.term == leadership.term);
-        cluster.map_or(Vec::new(), |cluster| cluster.due_writes(&replica, now))
+        let due = |cluster: &mut Cluster| cluster.due_writes(&replica, now);
+        let writes = self.shared.with_cluster_of(leadership.term, due);
+        writes.unwrap_or_default()
     }
 
     /// Writes records on which the cluster state waits, on condition that this controller still leads.
@@ -269,11 +263,9 @@
             debug!(kind = ?write.kind, ?outcome, "record write failed");
             *self.write_backoff_until.lock() = Some(Instant::now() + WRITE_RETRY_DELAY);
         }
-        if let Some(cluster) = self.shared.cluster.lock().as_mut() {
-            if cluster.term == leadership.term {
-                cluster.apply_write_outcome(&write.kind, &outcome);
-            }
-        }
+        self.shared.with_cluster_of(leadership.term, |cluster| {
+            cluster.apply_write_outcome(&write.kind, &outcome);
+        });
         self.shared.wake_ups.scheduler.notify_one();
     }
 
@@ -312,9 +304,9 @@
             .await;
         let Ok(mut response) = response else {
             debug!(%machine, "direct command unanswered");
-            if let Some(cluster) = self.shared.cluster.lock().as_mut() {
+            self.shared.with_cluster_of(term, |cluster| {
                 cluster.record_unanswered_command(&machine, sent_at);
-            }
+            });
             return;
         };
         let Ok(bytes) = response.body().limit(wire::BODY_BYTES_MAX).await else {
@@ -335,17 +327,16 @@
         sent_at: Instant,
     ) {
         let now = Instant::now();
-        if let Some(cluster) = self.shared.cluster.lock().as_mut() {
-            if cluster.term == term {
-                let source = HeartbeatSource::Command(sent_at);
-                let verified = cluster.apply_heartbeat(heartbeat, source, now);
-                debug!(%machine, ?verified, "direct command answered");
-                if verified == HeartbeatOrdering::Deposed {
-                    return;
-                }
-            }
+        let source = HeartbeatSource::Command(sent_at);
+        let verified = self.shared.with_cluster_of(term, |cluster| {
+            cluster.apply_heartbeat(heartbeat, source, now)
+        });
+        if let Some(verified) = verified {
+            debug!(%machine, ?verified, "direct command answered");
+        }
+        if verified != Some(HeartbeatOrdering::Deposed) {
+            self.shared.wake_ups.scheduler.notify_one();
         }
-        self.shared.wake_ups.scheduler.notify_one();
     }
 }
 
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -31,7 +31,7 @@
 use crate::forwarding::QueueLimits;
 use crate::leader::{ElectionState, Leadership};
 use crate::metrics::{resident_bytes, Metrics, MetricsView};
-use crate::model::{JobId, MachineId};
+use crate::model::{JobId, MachineId, Term};
 use crate::policy::SchedulingPolicy;
 use crate::sockets::SocketLimits;
 use crate::state_summary::SummaryCache;
@@ -141,6 +141,19 @@
         self.wake_ups.scheduler.notify_one();
     }
 
+    /// Calls `action` with the cluster state of `term`; `None` if this process has none or that of another term.
+    /// Whatever was decided or sent in a term is applied to the state of that term only: the state may have been
+    /// replaced since.
+    pub fn with_cluster_of<R>(
+        &self,
+        term: Term,
+        action: impl FnOnce(&mut Cluster) -> R,
+    ) -> Option<R> {
+        let mut guard = self.cluster.lock();
+        let cluster = guard.as_mut().filter(|cluster| cluster.term == term);
+        cluster.map(action)
+    }
+
     /// Applies the operators' list of machines to drain; drains for other reasons are left as they are.
     pub fn apply_operator_drains(&self, cluster: &mut Cluster) {
         let operator = self.operator.lock();
