Rent machines only for the unmet demand of the present term

Cause: the scaling loop combined the cluster state of its term with demand that had no term and was not replaced before the first cycle of the new term that could start tasks.

Fix: demand::TermDemand keeps the demand with its term; the loop takes that of its own term, or none.

Test: unmet_demand_of_an_earlier_term_rents_no_machine; it failed before (1 machine for 0).

--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -271,7 +271,7 @@
 
     fn plan_actions(&mut self) -> Vec<ScalingAction> {
         let now = Instant::now();
-        let unmet_demand = self.unmet_demand.lock().clone();
+        let unmet_demand = self.unmet_demand.lock().in_term(self.term).to_vec();
         let idle_policy = self.shared.operator.lock().idle_policy();
         let mut guard = self.shared.cluster.lock();
         let Some(cluster) = guard.as_mut().filter(|cluster| cluster.term == self.term) else {
@@ -404,3 +404,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/actors/scheduler.rs
+++ b/src/actors/scheduler.rs
@@ -12,7 +12,7 @@
 use tracing::{debug, info};
 
 use crate::cluster::{AddressedCommand, Cluster, HeartbeatOrdering, HeartbeatSource, RecordWrite};
-use crate::demand::UnmetDemand;
+use crate::demand::TermDemand;
 use crate::leader::Leadership;
 use crate::model::{FencingToken, MachineId, Term};
 use crate::pending_reason::PendingReason;
@@ -41,9 +41,8 @@
 /// response to its next heartbeat.
 const DIRECT_COMMAND_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The unmet demand of the latest cycle that could start tasks, written by the scheduler and read by
-/// the fleet.
-pub type SharedDemand = Arc<Mutex<Vec<UnmetDemand>>>;
+/// The unmet demand, written by the scheduler and read by the fleet.
+pub type SharedDemand = Arc<Mutex<TermDemand>>;
 
 /// Runs the scheduling loop of this process; cycles run only while it leads.
 pub struct SchedulerActor {
@@ -206,7 +205,8 @@
         cluster.scheduling_needed = false;
         self.log_and_count(&decisions, cluster);
         if starts_allowed {
-            *self.unmet_demand.lock() = decisions.unmet_demand;
+            let demand = TermDemand::new(leadership.term, decisions.unmet_demand);
+            *self.unmet_demand.lock() = demand;
         }
         Some(CycleOutcome {
             direct_commands: cluster.direct_commands(now),
--- a/src/demand.rs
+++ b/src/demand.rs
@@ -3,7 +3,31 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use crate::model::JobSpec;
+use crate::model::{JobSpec, Term};
+
+/// The unmet demand of the latest scheduling cycle that could start tasks, with the term of that cycle.
+#[derive(Debug, Default)]
+pub struct TermDemand {
+    term: Term,
+    unmet: Vec<UnmetDemand>,
+}
+
+impl TermDemand {
+    /// The unmet demand of a cycle in this term.
+    pub fn new(term: Term, unmet: Vec<UnmetDemand>) -> Self {
+        Self { term, unmet }
+    }
+
+    /// The unmet demand, if the cycle was in this term. Before the first such cycle there is none: the jobs of
+    /// an earlier term may have ended since.
+    pub fn in_term(&self, term: Term) -> &[UnmetDemand] {
+        if self.term == term {
+            &self.unmet
+        } else {
+            &[]
+        }
+    }
+}
 
 /// Tasks of one job for which a scheduling cycle found no capacity.
 #[derive(Debug, Clone)]
