Ignore responses to state summaries of an earlier term

Cause: the record of a peer was reset in place at the start of a term; the tasks that wait for responses held the same record, and a response has the number of its summary but not its term.

Fix: a new term gets new records.

Test: late_response_to_a_summary_of_an_earlier_term_is_ignored; it failed before (a full summary was due).

--- a/src/actors/peers/summaries.rs
+++ b/src/actors/peers/summaries.rs
@@ -95,15 +95,15 @@
     }
 
     /// Resets the numbers and the records of the peers if the term has changed: no peer has received a
-    /// summary of the new term.
+    /// summary of the new term. Responses to earlier summaries change only the former records.
     fn begin_term(&mut self, term: Term) {
         if term == self.term {
             return;
         }
         self.term = term;
         self.last_number = 0;
-        for peer in &self.peers {
-            *peer.recipient.borrow_mut() = SummaryRecipient::default();
+        for peer in &mut self.peers {
+            peer.recipient = Rc::default();
         }
     }
 
@@ -158,3 +158,6 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests;
