Record a response with the heartbeat that it answers

Cause: the arrival was recorded with epoch and sequence number, the response later as one to the newest heartbeat, whichever that was then.

Fix: HeartbeatId goes with the response, which counts only for the newest heartbeat. It replaces pairs of numbers in crates/links.

Test: response_to_an_older_heartbeat_does_not_answer_the_newest_one; it failed before (the agent was in the set).

--- a/crates/links/src/handover/tests.rs
+++ b/crates/links/src/handover/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::table::{LinkTable, RowHeader, StoreOperation};
 use crate::test_support::{timing, DETECTION_PARAMS};
+use crate::workers::HeartbeatId;
 
 const START_UNIX_MS: u64 = 1_800_000_000_000;
 const MEMBERS: [&str; 3] = ["knot-0", "knot-1", "knot-2"];
@@ -110,10 +111,14 @@
                 }
             }
             if links.workers[index] && self.elapsed_s.is_multiple_of(3) {
+                let heartbeat = HeartbeatId {
+                    epoch: 1,
+                    sequence: self.elapsed_s,
+                };
                 for worker in controller.workers.clone() {
                     controller
                         .table
-                        .record_worker_heartbeat(worker, (1, self.elapsed_s), now);
+                        .record_worker_heartbeat(worker, heartbeat, now);
                 }
             }
             controller.table.evaluate(now);
--- a/crates/links/src/table.rs
+++ b/crates/links/src/table.rs
@@ -10,6 +10,7 @@
 use crate::link::{DetectionParams, Link, LinkState, Transition};
 use crate::row::{LinkStatus, PeerLinks, Row, RowMessage, ROW_VERSION};
 use crate::timing::LinkTiming;
+use crate::workers::HeartbeatId;
 
 pub use names::{LinkChange, LinkName, StoreOperation};
 use workers::WorkerLinks;
@@ -123,15 +124,14 @@
         link_change(LinkName::PeerInbound(member.to_owned()), transition)
     }
 
-    /// Records the arrival of an agent's heartbeat with this epoch and sequence number. Copies and older
-    /// heartbeats are ignored.
-    pub fn record_worker_heartbeat(&mut self, worker: u32, heartbeat: (u64, u64), now: Instant) {
+    /// Records the arrival of an agent's heartbeat. Copies and older heartbeats are ignored.
+    pub fn record_worker_heartbeat(&mut self, worker: u32, heartbeat: HeartbeatId, now: Instant) {
         self.workers.record_heartbeat(worker, heartbeat, now);
     }
 
-    /// Records that this controller responded with status 200 to the newest heartbeat of the agent.
-    pub fn record_worker_response(&mut self, worker: u32) {
-        self.workers.record_response(worker);
+    /// Records that this controller responded with status 200 to this heartbeat of the agent.
+    pub fn record_worker_response(&mut self, worker: u32, heartbeat: HeartbeatId) {
+        self.workers.record_response(worker, heartbeat);
     }
 
     /// Re-evaluates all links and the gate, because their states also change without new evidence. Removes
--- a/crates/links/src/table/tests.rs
+++ b/crates/links/src/table/tests.rs
@@ -19,6 +19,11 @@
     table.row(header, now)
 }
 
+/// A heartbeat of an agent's first epoch.
+fn heartbeat(sequence: u64) -> HeartbeatId {
+    HeartbeatId { epoch: 1, sequence }
+}
+
 /// A successful lease renewal or read is no evidence that transactions succeed.
 #[test]
 fn each_kind_of_store_request_has_its_own_link() {
@@ -70,13 +75,13 @@
     // never receives a response; agent 4 sends copies of one heartbeat.
     for (index, second) in (0..5).map(|n| (n, 3 * n)) {
         let now = at(second);
-        table.record_worker_heartbeat(1, (1, 10 + index), now);
-        table.record_worker_response(1);
-        table.record_worker_heartbeat(2, (1, 10 + 3 * index), now);
-        table.record_worker_response(2);
-        table.record_worker_heartbeat(3, (1, 10 + index), now);
-        table.record_worker_heartbeat(4, (1, 10), now);
-        table.record_worker_response(4);
+        table.record_worker_heartbeat(1, heartbeat(10 + index), now);
+        table.record_worker_response(1, heartbeat(10 + index));
+        table.record_worker_heartbeat(2, heartbeat(10 + 3 * index), now);
+        table.record_worker_response(2, heartbeat(10 + 3 * index));
+        table.record_worker_heartbeat(3, heartbeat(10 + index), now);
+        table.record_worker_heartbeat(4, heartbeat(10), now);
+        table.record_worker_response(4, heartbeat(10));
     }
     let now = at(13);
     let row_now = row(&table, now);
@@ -101,7 +106,7 @@
     let mut table = table(start);
     for second in 0..10 {
         let now = start + Duration::from_secs(second);
-        table.record_worker_heartbeat(1, (1, second + 1), now);
+        table.record_worker_heartbeat(1, heartbeat(second + 1), now);
         table.record_peer_row("knot-1", now);
     }
     let resumed_at = start + Duration::from_secs(50);
@@ -115,6 +120,25 @@
     );
 }
 
+/// Guards against an agent that counts as reachable although its responses do not arrive: a late copy of an older
+/// heartbeat got a 200, and the newest heartbeat, which got none, was taken for answered.
+#[test]
+fn response_to_an_older_heartbeat_does_not_answer_the_newest_one() {
+    let start = Instant::now();
+    let mut table = table(start);
+    let worker = 1;
+    let older = heartbeat(10);
+    let newest = heartbeat(11);
+    table.record_worker_heartbeat(worker, older, start);
+    table.record_worker_heartbeat(worker, newest, start);
+    table.record_worker_response(worker, older);
+    table.record_worker_heartbeat(worker, heartbeat(12), start);
+    assert!(!row(&table, start).reachable_workers.contains(worker));
+    table.record_worker_response(worker, heartbeat(12));
+    table.record_worker_heartbeat(worker, heartbeat(13), start);
+    assert!(row(&table, start).reachable_workers.contains(worker));
+}
+
 /// Each controller publishes a row once a second, so a row must stay small with 4,000 machines and seven
 /// controllers.
 #[test]
@@ -122,9 +146,9 @@
     let start = Instant::now();
     let mut table = table(start);
     for worker in (0..8_000).step_by(2) {
-        table.record_worker_heartbeat(worker, (1, 1), start);
-        table.record_worker_response(worker);
-        table.record_worker_heartbeat(worker, (1, 2), start + Duration::from_secs(3));
+        table.record_worker_heartbeat(worker, heartbeat(1), start);
+        table.record_worker_response(worker, heartbeat(1));
+        table.record_worker_heartbeat(worker, heartbeat(2), start + Duration::from_secs(3));
     }
     let row = row(&table, start + Duration::from_secs(4));
     assert_eq!(
--- a/crates/links/src/table/workers.rs
+++ b/crates/links/src/table/workers.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::detector::PhiAccrualDetector;
-use crate::workers::WorkerSet;
+use crate::workers::{HeartbeatId, WorkerSet};
 
 /// Heartbeat intervals without a heartbeat after which an agent is removed, because it sends its heartbeats
 /// to another controller.
@@ -14,8 +14,7 @@
 #[derive(Debug)]
 struct WorkerLink {
     detector: PhiAccrualDetector,
-    /// Epoch and sequence number of the newest heartbeat.
-    newest_heartbeat: (u64, u64),
+    newest_heartbeat: HeartbeatId,
     /// Whether this controller responded with status 200 to the newest heartbeat.
     newest_answered: bool,
     /// Whether the newest heartbeat confirms that the response to the one before it arrived.
@@ -37,13 +36,12 @@
         }
     }
 
-    /// Records the arrival of a heartbeat with this epoch and sequence number. Copies and older heartbeats
-    /// are ignored.
-    pub(super) fn record_heartbeat(&mut self, worker: u32, heartbeat: (u64, u64), now: Instant) {
+    /// Records the arrival of a heartbeat. Copies and older heartbeats are ignored.
+    pub(super) fn record_heartbeat(&mut self, worker: u32, heartbeat: HeartbeatId, now: Instant) {
         let expected_interval = self.heartbeat_interval;
         let link = self.links.entry(worker).or_insert_with(|| WorkerLink {
             detector: PhiAccrualDetector::new(expected_interval),
-            newest_heartbeat: (0, 0),
+            newest_heartbeat: HeartbeatId::default(),
             newest_answered: false,
             response_confirmed: false,
         });
@@ -53,18 +51,18 @@
         // An agent without a response sends the next heartbeat to another controller, unless it has the
         // address of this one only. So only the direct successor of a heartbeat confirms that its response
         // arrived.
-        let is_successor =
-            heartbeat.0 == link.newest_heartbeat.0 && heartbeat.1 == link.newest_heartbeat.1 + 1;
+        let is_successor = heartbeat.is_successor_of(link.newest_heartbeat);
         link.response_confirmed = is_successor && link.newest_answered;
         link.newest_heartbeat = heartbeat;
         link.newest_answered = false;
         link.detector.record_arrival(now);
     }
 
-    /// Records that this controller responded with status 200 to the newest heartbeat of the agent.
-    pub(super) fn record_response(&mut self, worker: u32) {
+    /// Records that this controller responded with status 200 to a heartbeat. It is ignored if a newer heartbeat
+    /// has arrived: a response to a copy, or a late one, is none to the newest heartbeat.
+    pub(super) fn record_response(&mut self, worker: u32, heartbeat: HeartbeatId) {
         if let Some(link) = self.links.get_mut(&worker) {
-            link.newest_answered = true;
+            link.newest_answered |= link.newest_heartbeat == heartbeat;
         }
     }
 
--- a/crates/links/src/workers.rs
+++ b/crates/links/src/workers.rs
@@ -15,6 +15,22 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct WorkerSet(RoaringBitmap);
 
+/// Identifies a heartbeat of one agent. Later heartbeats are greater.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HeartbeatId {
+    /// The agent's epoch.
+    pub epoch: u64,
+    /// The number of the heartbeat within the epoch.
+    pub sequence: u64,
+}
+
+impl HeartbeatId {
+    /// Whether this heartbeat directly follows the other one within an epoch.
+    pub fn is_successor_of(self, other: Self) -> bool {
+        self.epoch == other.epoch && self.sequence == other.sequence + 1
+    }
+}
+
 /// The bytes do not encode a set of agents.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("malformed encoding of a worker set")]
--- a/examples/row_cost.rs
+++ b/examples/row_cost.rs
@@ -61,8 +61,9 @@
         let received_at = simulated_start + Duration::from_secs(3 * sequence);
         for number in 0..workers {
             let links = &controllers[number % controller_count].links;
-            links.record_worker_heartbeat(&heartbeat(number, sequence), received_at);
-            links.record_worker_response(&format!("m-{number:06}"));
+            let heartbeat = heartbeat(number, sequence);
+            links.record_worker_heartbeat(&heartbeat, received_at);
+            links.record_worker_response(&heartbeat.machine, heartbeat.id());
         }
     }
     let per_heartbeat = recording_started_at.elapsed() / (2 * workers as u32);
--- a/src/api/workers.rs
+++ b/src/api/workers.rs
@@ -84,7 +84,8 @@
     shared.links.record_worker_heartbeat(&heartbeat, clock());
     HeartbeatOutcome::Answered(match decide(shared, &heartbeat, term, clock) {
         HeartbeatDecision::Accepted(answer) => {
-            shared.links.record_worker_response(&heartbeat.machine);
+            let (machine, id) = (&heartbeat.machine, heartbeat.id());
+            shared.links.record_worker_response(machine, id);
             cbor_response(StatusCode::OK, &answer)
         }
         HeartbeatDecision::NotLeading => unavailable(Unavailable::LeadershipChanging),
@@ -188,7 +189,8 @@
         Some(answer) => {
             let response = relay_response(&pending, answer, now);
             if response.status() == StatusCode::OK {
-                shared.links.record_worker_response(&pending.machine);
+                let (machine, id) = (&pending.machine, pending.heartbeat);
+                shared.links.record_worker_response(machine, id);
             }
             response
         }
--- a/src/forwarding/mod.rs
+++ b/src/forwarding/mod.rs
@@ -11,6 +11,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use knotlanding_links::workers::HeartbeatId;
 use tokio::sync::oneshot;
 
 use self::messages::{ForwardedAnswer, ForwardedHeartbeat};
@@ -163,6 +164,8 @@
 pub struct PendingHeartbeat {
     /// The id of the agent's machine.
     pub machine: String,
+    /// Which of the agent's heartbeats it is.
+    pub heartbeat: HeartbeatId,
     /// When the heartbeat arrived at this controller.
     pub received_at: Instant,
     /// The highest fencing token that the agent had accepted when it sent the heartbeat.
@@ -270,6 +273,7 @@
         let (sender, receiver) = oneshot::channel();
         let token = heartbeat.token;
         let machine = heartbeat.machine.clone();
+        let id = heartbeat.id();
         self.queued_bytes += body_bytes;
         self.queue.push_back(QueuedHeartbeat {
             heartbeat: heartbeat.into(),
@@ -281,6 +285,7 @@
         });
         Ok(PendingHeartbeat {
             machine,
+            heartbeat: id,
             received_at: now,
             token,
             answer: receiver,
--- a/src/service/links/mod.rs
+++ b/src/service/links/mod.rs
@@ -15,7 +15,7 @@
 use knotlanding_links::gate::GateRefusal;
 use knotlanding_links::table::StoreOperation;
 use knotlanding_links::timing::LinkTiming;
-use knotlanding_links::workers::worker_number;
+use knotlanding_links::workers::{worker_number, HeartbeatId};
 use parking_lot::Mutex;
 
 pub use self::active::ActiveLinks;
@@ -147,21 +147,20 @@
     pub fn record_worker_heartbeat(&self, heartbeat: &Heartbeat, now: Instant) {
         if let Some(active) = &self.active {
             let number = worker_number(&heartbeat.machine);
-            let newest = (heartbeat.epoch, heartbeat.sequence);
             active
                 .table
                 .lock()
-                .record_worker_heartbeat(number, newest, now);
+                .record_worker_heartbeat(number, heartbeat.id(), now);
         }
     }
 
-    /// Records that this controller sent a 200 in response to the agent's newest heartbeat.
-    pub fn record_worker_response(&self, machine: &str) {
+    /// Records that this controller sent a 200 in response to this heartbeat of the agent.
+    pub fn record_worker_response(&self, machine: &str, heartbeat: HeartbeatId) {
         if let Some(active) = &self.active {
             active
                 .table
                 .lock()
-                .record_worker_response(worker_number(machine));
+                .record_worker_response(worker_number(machine), heartbeat);
         }
     }
 }
--- a/src/wire/workers.rs
+++ b/src/wire/workers.rs
@@ -1,5 +1,6 @@
 //! Bodies between the agents on machines and the controllers.
 
+use knotlanding_links::workers::HeartbeatId;
 use serde::{Deserialize, Serialize};
 
 use super::number::optional_number;
@@ -109,6 +110,16 @@
     pub tasks: Vec<TaskStatus>,
 }
 
+impl Heartbeat {
+    /// Which of the agent's heartbeats this is. Copies have the same id.
+    pub fn id(&self) -> HeartbeatId {
+        HeartbeatId {
+            epoch: self.epoch,
+            sequence: self.sequence,
+        }
+    }
+}
+
 /// A command to the agent on a machine.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "verb", rename_all = "snake_case")]
--- a/tests/common/simulation/forwarding.rs
+++ b/tests/common/simulation/forwarding.rs
@@ -274,9 +274,10 @@
             };
             if response.status() == 200 {
                 self.responses_relayed += 1;
+                let pending = &connection.pending;
                 shared
                     .links
-                    .record_worker_response(&connection.pending.machine);
+                    .record_worker_response(&pending.machine, pending.heartbeat);
             }
             self.send_response(
                 &connection.name,
