Show operators the cluster state only with the term of the role shown

Cause: role and term were read under one lock and the cluster state under another, without comparing its term.

Fix: Shared::with_cluster_of with the term of the role; without that state the answer is 503 and the status names no leader. A controller that no longer leads shows no machines, as docs/operations.md says; controller_status is split into shorter functions.

Test: leader_without_the_cluster_state_of_its_term_answers_neither_404_nor_an_empty_status; it failed before (404 for 503).

--- a/src/api/admin/mod.rs
+++ b/src/api/admin/mod.rs
@@ -42,7 +42,8 @@
 }
 
 /// Responds with the result of `find` on the leader's cluster state. A controller that does not lead responds
-/// with 503 and the name of the leader, if one is known.
+/// with 503 and the name of the leader, if one is known; so does one whose leadership is just changing, since
+/// its cluster state is not that of the term in which it leads.
 fn cluster_response<T: Serialize>(
     shared: &Shared,
     what: &str,
@@ -50,23 +51,26 @@
 ) -> HttpResponse {
     let now = Instant::now();
     let role = shared.election.lock().role(now);
-    if !matches!(role, Role::Leader(_)) {
-        let error = match role {
-            Role::Follower(Some(leader)) => format!("{} leads; ask there", leader.member),
-            _ => "nobody is known to lead; try again".to_owned(),
-        };
-        return error_response(HttpResponse::ServiceUnavailable(), error);
-    }
-    let found = {
-        let cluster = shared.cluster.lock();
-        cluster.as_ref().and_then(|cluster| find(cluster, now))
+    let leadership = match role {
+        Role::Leader(leadership) => leadership,
+        Role::Follower(Some(leader)) => {
+            return not_leading(format!("{} leads; ask there", leader.member));
+        }
+        Role::Follower(None) | Role::KeepAlive(_) => {
+            return not_leading("nobody is known to lead; try again".to_owned());
+        }
     };
-    match found {
-        Some(found) => HttpResponse::Ok().json(found),
-        None => error_response(HttpResponse::NotFound(), format!("no such {what}")),
+    match shared.with_cluster_of(leadership.term, |cluster| find(cluster, now)) {
+        Some(Some(found)) => HttpResponse::Ok().json(found),
+        Some(None) => error_response(HttpResponse::NotFound(), format!("no such {what}")),
+        None => not_leading("the leadership is changing; try again".to_owned()),
     }
 }
 
+fn not_leading(error: String) -> HttpResponse {
+    error_response(HttpResponse::ServiceUnavailable(), error)
+}
+
 fn error_response(mut response: actix_web::HttpResponseBuilder, error: String) -> HttpResponse {
     response.json(ErrorBody { error })
 }
--- a/src/api/admin/views.rs
+++ b/src/api/admin/views.rs
@@ -128,44 +128,61 @@
     jobs: BTreeMap<String, JobStatus>,
 }
 
+impl Status {
+    /// The status of a controller that shows no cluster state.
+    fn without_cluster(shared: &Shared, leader: Option<String>) -> Self {
+        Self {
+            member: shared.settings.member.clone(),
+            leading: false,
+            leader,
+            term: None,
+            records_revision: shared.replica.lock().revision,
+            state_service_answers: shared.links.contact().failing_since.is_none(),
+            unsettled_machines: 0,
+            worker_health: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+        }
+    }
+
+    fn add_cluster(&mut self, cluster: &Cluster, now: Instant) {
+        self.unsettled_machines = cluster.unreconciled.len();
+        let evaluator = cluster.health_evaluator(now);
+        for (id, machine) in &cluster.machines {
+            let machine_status = MachineStatus::of(cluster, machine, &evaluator);
+            *self
+                .worker_health
+                .entry(machine_status.health.state)
+                .or_default() += 1;
+            self.machines.insert(id.to_string(), machine_status);
+        }
+        for (id, job) in &cluster.jobs {
+            self.jobs.insert(id.to_string(), JobStatus::of(job, now));
+        }
+    }
+}
+
+/// The status of this controller. A leader is shown as leading only together with the cluster state of its
+/// term; while the leadership changes, neither is shown.
 pub(super) fn controller_status(shared: &Shared) -> Status {
     let now = Instant::now();
     let role = shared.election.lock().role(now);
-    let leading = matches!(role, Role::Leader(_));
-    let own_member = shared.settings.member.clone();
-    let (leader, term) = match role {
-        Role::Leader(leadership) => (Some(own_member.clone()), Some(leadership.term.0)),
-        Role::KeepAlive(_) => (None, None),
-        Role::Follower(leader) => (leader.map(|leader| leader.member), None),
-    };
-    let mut status = Status {
-        member: own_member,
-        leading,
-        leader,
-        term,
-        records_revision: shared.replica.lock().revision,
-        state_service_answers: shared.links.contact().failing_since.is_none(),
-        unsettled_machines: 0,
-        worker_health: BTreeMap::new(),
-        machines: BTreeMap::new(),
-        jobs: BTreeMap::new(),
+    let (leader, cluster_term) = match &role {
+        Role::Leader(leadership) => (None, Some(leadership.term)),
+        Role::KeepAlive(term) => (None, Some(*term)),
+        Role::Follower(leader) => (leader.as_ref().map(|leader| leader.member.clone()), None),
     };
-    let guard = shared.cluster.lock();
-    let Some(cluster) = guard.as_ref() else {
+    let mut status = Status::without_cluster(shared, leader);
+    let Some(term) = cluster_term else {
         return status;
     };
-    status.unsettled_machines = cluster.unreconciled.len();
-    let evaluator = cluster.health_evaluator(now);
-    for (id, machine) in &cluster.machines {
-        let machine_status = MachineStatus::of(cluster, machine, &evaluator);
-        *status
-            .worker_health
-            .entry(machine_status.health.state)
-            .or_default() += 1;
-        status.machines.insert(id.to_string(), machine_status);
-    }
-    for (id, job) in &cluster.jobs {
-        status.jobs.insert(id.to_string(), JobStatus::of(job, now));
-    }
+    shared.with_cluster_of(term, |cluster| {
+        if let Role::Leader(_) = role {
+            status.leading = true;
+            status.leader = Some(status.member.clone());
+            status.term = Some(term.0);
+        }
+        status.add_cluster(cluster, now);
+    });
     status
 }
--- a/tests/operator_settings.rs
+++ b/tests/administration.rs
@@ -1,4 +1,5 @@
-//! The operators' settings and their version, read and changed while the replica is being updated.
+//! The administration interface while the shared state changes: the operators' settings while the replica is
+//! being updated, and the cluster state while the leadership changes.
 
 // A failed `unwrap` or `expect` fails the test with its message.
 #![allow(clippy::unwrap_used, clippy::expect_used)]
@@ -6,9 +7,11 @@
 mod common;
 #[path = "common/in_process.rs"]
 mod in_process;
+#[path = "common/test_leader.rs"]
+mod test_leader;
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
 use actix_web::http::StatusCode;
 use actix_web::test::{call_service, init_service, read_body, TestRequest};
@@ -16,13 +19,17 @@
 use actix_web::{web, App};
 use in_process::InProcessController;
 use knotlanding::api::admin::{self, VersionedSettings};
+use knotlanding::cluster::Cluster;
+use knotlanding::leader::Leadership;
+use knotlanding::model::Term;
 use knotlanding::service::operator::OperatorSettings;
 use knotlanding::service::Shared;
 use knotlanding::store::keys;
 use knotlanding::store::observer::StoreObserver;
-use knotlanding::store::replica::ReplicaChange;
+use knotlanding::store::replica::{Replica, ReplicaChange};
 use knotlanding::store::{from_value, to_value};
 use knotlanding_links::table::StoreOperation;
+use test_leader::machine_types;
 
 /// Withholds the notifications of changes, so that the instant lasts in which the replica has a change and
 /// the rest of the shared state does not have it yet.
@@ -114,3 +121,65 @@
     expected.drained.push("m-000002".to_owned());
     assert_eq!(recorded, expected);
 }
+
+/// A controller that leads in term 1 by its election state, and has the cluster state of `term`, or none.
+async fn leader_with_cluster_of(term: Option<Term>) -> InProcessController {
+    let controller =
+        InProcessController::start_with_observer(|shared| Arc::new(WithholdChanges(shared))).await;
+    let shared = &controller.shared;
+    let now = Instant::now();
+    {
+        let mut election = shared.election.lock();
+        election.hold_lease(7, now);
+        election.become_leader(Leadership {
+            term: Term(1),
+            version: 1,
+        });
+        election.freshness().confirm(now);
+    }
+    *shared.cluster.lock() = term.map(|term| {
+        Cluster::recover(
+            term,
+            &shared.settings,
+            &Replica::default(),
+            Arc::new(machine_types()),
+            now,
+            SystemTime::now(),
+        )
+    });
+    controller
+}
+
+async fn get(controller: &InProcessController, path: &str) -> (StatusCode, serde_json::Value) {
+    let (status, body) = respond(controller, TestRequest::get().uri(path)).await;
+    (status, serde_json::from_slice(&body).unwrap())
+}
+
+/// Guards against answers about the cluster in the name of a leader that no longer has its state: the role and
+/// the cluster state were read one after the other, and the leadership ended or changed in between.
+#[actix_web::test]
+async fn leader_without_the_cluster_state_of_its_term_answers_neither_404_nor_an_empty_status() {
+    for cluster_term in [None, Some(Term(2))] {
+        let controller = leader_with_cluster_of(cluster_term).await;
+        for path in ["/admin/machines/m-000001", "/admin/jobs/wk-000001"] {
+            assert_eq!(
+                get(&controller, path).await.0,
+                StatusCode::SERVICE_UNAVAILABLE,
+                "{path} with the cluster state of {cluster_term:?}"
+            );
+        }
+        let (_, status) = get(&controller, "/admin/status").await;
+        assert_eq!(
+            (&status["leading"], &status["term"]),
+            (&false.into(), &serde_json::Value::Null)
+        );
+    }
+    let controller = leader_with_cluster_of(Some(Term(1))).await;
+    let (status, _) = get(&controller, "/admin/machines/m-000001").await;
+    assert_eq!(status, StatusCode::NOT_FOUND);
+    let (_, status) = get(&controller, "/admin/status").await;
+    assert_eq!(
+        (&status["leading"], &status["term"]),
+        (&true.into(), &1.into())
+    );
+}
