Apply a full state summary only if it is newer than the last one

Cause: changes were compared with the number of the last summary, a full summary of the same term was not.

Fix: a summary is applied only if (term, number) is above that of the last applied one.

Test: late_full_summary_does_not_replace_a_newer_state; it failed before (done went from 2 back to 1).

--- a/src/state_summary/cache.rs
+++ b/src/state_summary/cache.rs
@@ -24,11 +24,12 @@
 }
 
 impl SummaryCache {
-    /// Applies a summary unless it is of an older term, or holds changes and does not directly follow the
-    /// last applied summary. Returns whether it was applied.
+    /// Applies a summary if it is newer than the last applied one, and is either full or directly follows that
+    /// one. Returns whether it was applied.
     pub fn apply(&mut self, summary: StateSummary) -> bool {
+        let is_newer = (summary.term, summary.number) > (self.term, self.number);
         let follows_last = summary.term == self.term && summary.number == self.number + 1;
-        if summary.term < self.term || !(summary.full || follows_last) {
+        if !is_newer || !(summary.full || follows_last) {
             return false;
         }
         if summary.full {
--- a/src/state_summary/tests.rs
+++ b/src/state_summary/tests.rs
@@ -23,16 +23,33 @@
     }
 }
 
-/// After a lost summary, or one of an older leader, the cache must not mix entries of different states.
-#[test]
-fn changes_are_applied_only_directly_after_the_previous_summary() {
-    let summary = |term, number, full, contents| StateSummary {
+fn summary(term: u64, number: u64, full: bool, contents: SummaryContents) -> StateSummary {
+    StateSummary {
         term: Term(term),
         member: "knot-1".to_owned(),
         number,
         full,
         contents,
-    };
+    }
+}
+
+/// Guards against a state that goes back: a full summary that the network held up replaced the newer state, and
+/// the changes after it were rejected until the next full one.
+#[test]
+fn late_full_summary_does_not_replace_a_newer_state() {
+    let id = JobId::parse("wk-000001").unwrap();
+    let mut cache = SummaryCache::default();
+    assert!(cache.apply(summary(3, 8, true, contents(1))));
+    assert!(cache.apply(summary(3, 9, false, contents(2))));
+    cache.apply(summary(3, 8, true, contents(1)));
+    assert_eq!(cache.task_counts[&id], (2, 5));
+    assert!(cache.apply(summary(3, 10, false, contents(3))));
+    assert_eq!(cache.task_counts[&id], (3, 5));
+}
+
+/// After a lost summary, or one of an older leader, the cache must not mix entries of different states.
+#[test]
+fn changes_are_applied_only_directly_after_the_previous_summary() {
     let id = JobId::parse("wk-000001").unwrap();
     let mut cache = SummaryCache::default();
     assert!(
