Keep a late record of misdirected heartbeats from lowering the base of responses

Cause: counts arrive in responses to summaries and in records; a record that was applied late replaced the base of comparison by a lower count, and the next response looked like an increase.

Fix: each source has its base; a response sets both, a record never lowers that of responses.

--- a/src/actors/peers/summaries.rs
+++ b/src/actors/peers/summaries.rs
@@ -9,6 +9,7 @@
 use actix_web::web::Bytes;
 use awc::http::StatusCode;
 use awc::Client;
+use knotlanding_links::misdirected::CountSource;
 
 use super::RESPONSE_TIMEOUT;
 use crate::model::Term;
@@ -150,10 +151,9 @@
             // The body is read to its end so that the connection can be reused.
             let body = response.body().await.unwrap_or_default();
             if let Some(SummaryReply { misdirected }) = peer::decode(&body) {
-                let now = Instant::now();
-                shared
-                    .links
-                    .record_misdirected_count(&member, misdirected, now);
+                let (source, now) = (CountSource::SummaryResponse, Instant::now());
+                let links = &shared.links;
+                links.record_misdirected_count(&member, source, misdirected, now);
             }
         });
     }
--- a/src/service/links/mod.rs
+++ b/src/service/links/mod.rs
@@ -13,6 +13,7 @@
 
 use knotlanding_links::contact::{PeerContactResult, PeerContacts, StoreContact};
 use knotlanding_links::gate::GateRefusal;
+use knotlanding_links::misdirected::CountSource;
 use knotlanding_links::table::StoreOperation;
 use knotlanding_links::timing::LinkTiming;
 use knotlanding_links::workers::{worker_number, HeartbeatId};
@@ -117,11 +118,17 @@
 
     /// Records the number of misdirected heartbeats that a controller has counted since its process
     /// started.
-    pub fn record_misdirected_count(&self, member: &str, count: u64, now: Instant) {
+    pub fn record_misdirected_count(
+        &self,
+        member: &str,
+        source: CountSource,
+        count: u64,
+        now: Instant,
+    ) {
         self.evidence
             .lock()
             .misdirected
-            .record_count(member, count, now);
+            .record_count(member, source, count, now);
     }
 
     /// Whether another controller recently counted many misdirected heartbeats within a short time.
--- a/src/service/store_observer.rs
+++ b/src/service/store_observer.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Instant, SystemTime};
 
+use knotlanding_links::misdirected::CountSource;
 use knotlanding_links::table::StoreOperation;
 use tracing::warn;
 
@@ -59,7 +60,9 @@
                 ReplicaChange::Leader => leader_changed = true,
                 ReplicaChange::Settings => self.update_operator_settings(&replica),
                 ReplicaChange::Misdirected(member, count) => {
-                    self.links.record_misdirected_count(member, *count, now);
+                    let source = CountSource::Record;
+                    self.links
+                        .record_misdirected_count(member, source, *count, now);
                 }
                 ReplicaChange::Job(id) => {
                     jobs_changed = true;
