Share the transactions of elections and submissions with the simulation

Cause: the simulation had copies of what a controller writes when it is elected and when a job is accepted.

Change: store::election::NextTerm and JobRecord::accepted are used by both; Transaction::put_if_version replaces six pairs of a condition and a put on the same key.

--- a/src/actors/election/campaign.rs
+++ b/src/actors/election/campaign.rs
@@ -10,8 +10,9 @@
 use super::{Election, RETRY_DELAY};
 use crate::model::Term;
 use crate::store::actor::Commit;
-use crate::store::keys::{self, LeaderRecord, TermRecord};
-use crate::store::{to_value, Change, Condition, Transaction, TransactionOutcome, WritePriority};
+use crate::store::election::NextTerm;
+use crate::store::keys::LeaderRecord;
+use crate::store::{TransactionOutcome, WritePriority};
 
 /// Longest wait for the replica to show the record of a won election.
 const REPLICA_DELAY_MAX: Duration = Duration::from_millis(1500);
@@ -85,23 +86,9 @@
     /// Writes the leader's record and the next term, on the conditions that there is no leader and that no
     /// other controller has used that term.
     async fn commit_election(&self, lease: u64) -> Result<TransactionOutcome, MailboxError> {
-        let (term, term_version) = {
-            let replica = self.shared.replica.lock();
-            (Term(replica.term.record.0 + 1), replica.term.version)
-        };
-        let conditions = vec![
-            Condition::new(keys::LEADER, 0),
-            Condition::new(keys::TERM, term_version),
-        ];
-        let changes = vec![
-            Change::Put {
-                key: keys::LEADER.to_owned(),
-                value: to_value(&self.own_record(term, lease)),
-                lease: Some(lease),
-            },
-            Change::put(keys::TERM, to_value(&TermRecord { term })),
-        ];
-        let transaction = Transaction::new(conditions, changes);
+        let next_term = NextTerm::of_replica(&self.shared.replica.lock());
+        let term = next_term.term;
+        let transaction = next_term.election(&self.own_record(term, lease));
         let commit = Commit(transaction, WritePriority::Election);
         let outcome = self.store.send(commit).await;
         debug!(term = term.0, ?outcome, "campaigning for leadership");
--- a/src/actors/peers/misdirected.rs
+++ b/src/actors/peers/misdirected.rs
@@ -9,7 +9,7 @@
 use crate::service::Shared;
 use crate::store::actor::{Commit, StoreActor};
 use crate::store::keys::{self, MisdirectedRecord};
-use crate::store::{to_value, Change, Condition, Transaction, WritePriority};
+use crate::store::{Transaction, WritePriority};
 
 /// Misdirected heartbeats are recorded in the key-value store when no summary of a leader has arrived for
 /// this long. A leader that reaches the store reads the record there.
@@ -72,14 +72,11 @@
     fn write(&self, count: u64) {
         let member = &self.shared.settings.member;
         let version = self.shared.replica.lock().misdirected_version(member);
+        let record = MisdirectedRecord { count };
+        // A write that is executed late must not replace a newer count: the next count would look as if
+        // many heartbeats had been misdirected in between.
         let key = keys::misdirected(member);
-        let record = to_value(&MisdirectedRecord { count });
-        let transaction = Transaction {
-            // A write that is executed late must not replace a newer count: the next count would look as if
-            // many heartbeats had been misdirected in between.
-            conditions: vec![Condition::new(key.clone(), version)],
-            changes: vec![Change::put(key, record)],
-        };
+        let transaction = Transaction::put_if_version(key, version, &record);
         // If the write is lost, the next record holds the same count or a higher one.
         self.store.do_send(Commit(transaction, WritePriority::High));
     }
--- a/src/api/admin/settings.rs
+++ b/src/api/admin/settings.rs
@@ -14,9 +14,7 @@
 use crate::service::Shared;
 use crate::store::actor::{Commit, StoreActor};
 use crate::store::replica::Replica;
-use crate::store::{
-    keys, to_value, Change, Condition, Transaction, TransactionOutcome, WritePriority,
-};
+use crate::store::{keys, Transaction, TransactionOutcome, WritePriority};
 
 /// Timeout for the write of a change; without an outcome by then the response is 503.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -75,10 +73,8 @@
     if !shared.replica.lock().loaded {
         return store_unavailable();
     }
-    let transaction = Transaction::new(
-        vec![Condition::new(keys::SETTINGS, requested.version)],
-        vec![Change::put(keys::SETTINGS, to_value(&requested.settings))],
-    );
+    let key = keys::SETTINGS.to_owned();
+    let transaction = Transaction::put_if_version(key, requested.version, &requested.settings);
     let sent = actix::clock::timeout(
         WRITE_TIMEOUT,
         store.send(Commit(transaction, WritePriority::High)),
--- a/src/api/users/submit.rs
+++ b/src/api/users/submit.rs
@@ -11,16 +11,13 @@
 use super::status::{job_state, read_verdict, store_failure, verdict_response};
 use super::{StoreAddr, WRITE_TIMEOUT};
 use crate::cluster::Catalog;
-use crate::model::{JobId, JobKind, JobSpec, Priority, Resources, Verdict};
+use crate::model::{JobId, JobKind, JobSpec, Priority, Resources};
 use crate::policy::SchedulingPolicy;
 use crate::service::Shared;
 use crate::store::actor::{Commit, StoreActor};
-use crate::store::keys::{self, JobDescription, JobRecord};
+use crate::store::keys::{self, JobRecord};
 use crate::store::replica::JobVerdict;
-use crate::store::{
-    to_value, Change, Condition, StoreError, Transaction, TransactionOutcome, WritePriority,
-};
-use crate::time::unix_ms;
+use crate::store::{StoreError, Transaction, TransactionOutcome, WritePriority};
 use crate::wire::{self, JobSubmission};
 
 /// `POST /api/jobs`: records a new job; for a job already on record, responds with its status.
@@ -112,27 +109,14 @@
     spec: JobSpec,
 ) -> HttpResponse {
     let (id, tasks) = (spec.id.clone(), spec.tasks);
-    let submitted_ms = unix_ms(SystemTime::now());
     // When writes queue up at the rate limit, those for the lowest priority class are sent last.
     let write_priority = if spec.priority == Priority::BestEffort {
         WritePriority::Low
     } else {
         WritePriority::High
     };
-    let accepted = JobRecord {
-        verdict: Verdict::Accepted,
-        tasks,
-        description: Some(JobDescription {
-            spec,
-            submitted_ms,
-            started: false,
-            hosts: None,
-        }),
-    };
-    let transaction = Transaction::new(
-        vec![Condition::new(keys::job(&id), 0)],
-        vec![Change::put(keys::job(&id), to_value(&accepted))],
-    );
+    let accepted = JobRecord::accepted(spec, SystemTime::now());
+    let transaction = Transaction::put_if_version(keys::job(&id), 0, &accepted);
     let outcome = store.send(Commit(transaction, write_priority)).await;
     match outcome.unwrap_or(TransactionOutcome::Failed(StoreError::OutcomeUnknown)) {
         TransactionOutcome::Committed(_) => {
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -368,11 +368,9 @@
             };
             let key = keys::inventory(shard);
             let version = versions.of_shard(&key, shard);
-            let conditions = vec![Condition::new(key.clone(), version)];
-            let changes = vec![Change::put(key, to_value(&record))];
             writes.push(RecordWrite {
                 kind: RecordKind::Inventory { shard, machines },
-                transaction: Transaction::new(conditions, changes),
+                transaction: Transaction::put_if_version(key, version, &record),
                 priority: WritePriority::High,
             });
         }
--- a/src/store/cancellation.rs
+++ b/src/store/cancellation.rs
@@ -6,7 +6,7 @@
 
 use super::keys::{self, JobRecord};
 use super::replica::{JobVerdict, Replica};
-use super::{to_value, Change, Condition, Transaction};
+use super::Transaction;
 use crate::model::{JobId, Verdict};
 
 /// What the cancellation of a job requires, by one state of the replica.
@@ -32,11 +32,7 @@
 impl CancellationWrite {
     /// Encodes the write for the job that it was planned for.
     pub fn transaction(&self, id: &JobId) -> Transaction {
-        let key = keys::job(id);
-        Transaction::new(
-            vec![Condition::new(key.clone(), self.replaced_version)],
-            vec![Change::put(key, to_value(&self.record))],
-        )
+        Transaction::put_if_version(keys::job(id), self.replaced_version, &self.record)
     }
 }
 
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -4,9 +4,12 @@
 //! All keys share one prefix. One watch per controller therefore delivers all changes, and a replica that
 //! has reached a revision contains all records as of that revision.
 
+use std::time::SystemTime;
+
 use serde::{Deserialize, Serialize};
 
 use crate::model::{JobId, JobSpec, Term, Verdict};
+use crate::time::unix_ms;
 
 /// Prefix of all keys that the service uses.
 pub const ROOT: &str = "kl/";
@@ -145,6 +148,20 @@
 }
 
 impl JobRecord {
+    /// Creates the record of a job that is accepted at `submitted_at`.
+    pub fn accepted(spec: JobSpec, submitted_at: SystemTime) -> Self {
+        Self {
+            verdict: Verdict::Accepted,
+            tasks: spec.tasks,
+            description: Some(JobDescription {
+                spec,
+                submitted_ms: unix_ms(submitted_at),
+                started: false,
+                hosts: None,
+            }),
+        }
+    }
+
     /// Creates the record of a job of which no task may run.
     pub fn without_description(verdict: Verdict, tasks: u32) -> Self {
         Self {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -10,6 +10,7 @@
 mod commit_queue;
 mod commit_sender;
 mod context;
+pub mod election;
 pub mod keys;
 pub mod limiter;
 pub mod observer;
@@ -148,6 +149,14 @@
 }
 
 impl Transaction {
+    /// Creates a transaction that writes a record if its key has this version; 0 if the key must not exist.
+    pub fn put_if_version<T: Serialize>(key: String, version: u64, record: &T) -> Self {
+        Self::new(
+            vec![Condition::new(key.clone(), version)],
+            vec![Change::put(key, to_value(record))],
+        )
+    }
+
     /// Creates a transaction that applies `changes` if all `conditions` hold.
     pub fn new(conditions: Vec<Condition>, changes: Vec<Change>) -> Self {
         Self {
--- a/tests/common/simulation.rs
+++ b/tests/common/simulation.rs
@@ -52,11 +52,11 @@
 use knotlanding::sched::{self, Decisions};
 use knotlanding::service::Shared;
 use knotlanding::store::cancellation::{self, CancellationPlan};
-use knotlanding::store::keys::{self, JobDescription, JobRecord, LeaderRecord, TermRecord};
+use knotlanding::store::election::NextTerm;
+use knotlanding::store::keys::{self, JobRecord, LeaderRecord};
 use knotlanding::store::replica::VerdictState;
 use knotlanding::store::{
-    to_value, Change, Condition, KeyValue, StoreError, Transaction, TransactionOutcome, Value,
-    WatchEvent,
+    Change, Condition, KeyValue, StoreError, Transaction, TransactionOutcome, Value, WatchEvent,
 };
 use knotlanding::timing::{lease_renewal_interval, LEADER_LEASE_MIN};
 use knotlanding::wire::{
--- a/tests/common/simulation/controllers.rs
+++ b/tests/common/simulation/controllers.rs
@@ -228,33 +228,16 @@
 
     /// Sends the election transaction under a newly granted lease.
     pub(super) fn send_election(&mut self, index: usize, lease: u64) {
-        let (term, version) = {
-            let replica = self.controllers[index].shared.replica.lock();
-            (Term(replica.term.record.0 + 1), replica.term.version)
-        };
+        let next_term = NextTerm::of_replica(&self.controllers[index].shared.replica.lock());
         let record = LeaderRecord {
             member: self.controllers[index].name.clone(),
             address: String::new(),
-            term,
+            term: next_term.term,
             lease,
         };
-        let transaction = Transaction {
-            conditions: vec![
-                Condition::new(keys::LEADER, 0),
-                Condition::new(keys::TERM, version),
-            ],
-            changes: vec![
-                Change::Put {
-                    key: keys::LEADER.to_owned(),
-                    value: to_value(&record),
-                    lease: Some(lease),
-                },
-                Change::put(keys::TERM, to_value(&TermRecord { term })),
-            ],
-        };
         self.send_store_request(
             index,
-            StoreRequest::Commit(transaction),
+            StoreRequest::Commit(next_term.election(&record)),
             RequestPurpose::Elect(lease),
         );
     }
--- a/tests/common/simulation/users.rs
+++ b/tests/common/simulation/users.rs
@@ -36,25 +36,9 @@
         let Some(index) = self.draw_running_controller() else {
             return;
         };
-        let record = JobRecord {
-            verdict: Verdict::Accepted,
-            tasks: self.jobs[id].spec.tasks,
-            description: Some(JobDescription {
-                spec: self.jobs[id].spec.clone(),
-                submitted_ms: self
-                    .wall_clock()
-                    .duration_since(SystemTime::UNIX_EPOCH)
-                    .unwrap()
-                    .as_millis() as u64,
-                started: false,
-                hosts: None,
-            }),
-        };
+        let record = JobRecord::accepted(self.jobs[id].spec.clone(), self.wall_clock());
         let key = keys::job(&JobId::parse(id).unwrap());
-        let transaction = Transaction {
-            conditions: vec![Condition::new(key.clone(), 0)],
-            changes: vec![Change::put(key, to_value(&record))],
-        };
+        let transaction = Transaction::put_if_version(key, 0, &record);
         self.send_store_request(
             index,
             StoreRequest::Commit(transaction),
--- a/tests/common/test_leader.rs
+++ b/tests/common/test_leader.rs
@@ -481,18 +481,7 @@
     spec: &JobSpec,
     started: bool,
 ) -> Vec<(String, knotlanding::store::Value)> {
-    let since_epoch = fixed_wall_time().duration_since(SystemTime::UNIX_EPOCH);
-    let description = JobDescription {
-        spec: spec.clone(),
-        submitted_ms: since_epoch.unwrap().as_millis() as u64,
-        started: false,
-        hosts: None,
-    };
-    let job = JobRecord {
-        verdict: Verdict::Accepted,
-        tasks: spec.tasks,
-        description: Some(description),
-    };
+    let job = JobRecord::accepted(spec.clone(), fixed_wall_time());
     let mut records = vec![(keys::job(&spec.id), to_value(&job))];
     if started {
         records.push(dispatch_record(&spec.id, None));
