--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,7 +3,7 @@
 # With TROUBLE=0 it does the same without the disruption. Needs the build of the deploy file and build-2.sh.
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
-"$root/review/standins-2/target/release/review-standins-2" many-small "$root" "$folder"
+"$root/review/standins-2/target/release/review-standins-2" dropped-return "$root" "$folder"
 code=$?
 case $code in
 0 | 1) exit $code ;;
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -276,36 +276,81 @@
     ))
 }
 
-/// A gang of many small tasks, all of which fit one machine. The accepted job must run.
-pub async fn many_small(root: &Path, trouble: bool, lines: &mut Vec<String>) -> Outcome {
+/// Machines are being returned while the cloud is behind a cut, and then the state service is down. A job that
+/// is accepted afterwards must run on one of them, or on another one.
+pub async fn dropped_return(root: &Path, trouble: bool, lines: &mut Vec<String>) -> Outcome {
     let began = Instant::now();
     let flavor = Flavor {
-        name: "boxoffice",
-        cores: 16.0,
-        ram_gb: 32.0,
-        boot_s: 50.0,
+        name: "heavybid",
+        cores: 32.0,
+        ram_gb: 128.0,
+        boot_s: 30.0,
     };
-    let world = world(&BRACKENRIDGE, vec![flavor], 6, (3.0, 22.0));
-    let mut deployment = Deployment::start(root, &BRACKENRIDGE, 3, world.clone());
-    let outcome = many_small_in(&deployment, trouble).await;
+    let world = world(&INDUS, vec![flavor], 3, (3.0, 45.0));
+    let mut deployment = Deployment::start(root, &INDUS, 3, world.clone());
+    world.add_machines(3);
+    let outcome = dropped_return_in(&deployment, trouble).await;
     finish(&mut deployment, began, lines);
     outcome
 }
 
-async fn many_small_in(deployment: &Deployment, trouble: bool) -> Outcome {
+async fn dropped_return_in(deployment: &Deployment, trouble: bool) -> Outcome {
     let world = &deployment.world;
-    if deployment.wait_for_leader(LEADER_WAIT).await.is_none() {
+    let Some(leader) = deployment.wait_for_leader(LEADER_WAIT).await else {
         return Outcome::CouldNotRun("no leader".to_owned());
+    };
+    if trouble {
+        world.log("the cloud is behind a cut: connections to it are reset");
+        deployment.set_cloud_links(LinkMode::REFUSED);
+    }
+    // Idle machines are returned at once.
+    let settings = r#"{"version":0,"settings":{"idle_factor":0.0}}"#;
+    if deployment
+        .operate(leader, "settings", Some(settings))
+        .await
+        .is_empty()
+    {
+        return Outcome::CouldNotRun("the operators' setting was not taken".to_owned());
+    }
+    if trouble {
+        let began = Instant::now();
+        let machines = ["m-000001", "m-000002", "m-000003"];
+        let mut returning = 0;
+        while returning < machines.len() {
+            if began.elapsed() > Duration::from_secs(12) {
+                return Outcome::CouldNotRun(format!("{returning} machines are being returned"));
+            }
+            sleep(0.2).await;
+            returning = 0;
+            for name in machines {
+                let path = format!("machines/{name}");
+                let shown = deployment.operate(leader, &path, None).await;
+                returning += usize::from(shown.contains("it is being returned"));
+            }
+        }
+        world.log(
+            "the leader shows all three machines as being returned; the state service is down",
+        );
+        deployment.store.set_outage(true);
+        sleep(6.0).await;
+        deployment.store.set_outage(false);
+        world.log("the state service is back");
+        sleep(1.0).await;
+        deployment.set_cloud_links(LinkMode::default());
+        world.log("the cloud can be reached again");
+    } else {
+        sleep(12.0).await;
     }
+    sleep(1.0).await;
     let job = Job {
-        id: "wk-000301",
-        lane: "pingflock",
-        owner: "gatecrew",
+        id: "wk-000401",
+        lane: "bidseal",
+        owner: "gridops",
         shape: "group",
-        rank: "standard",
-        strands: if trouble { 500 } else { 40 },
-        cores: 0.03,
-        ram_gb: 0.06,
+        rank: "urgent",
+        strands: 1,
+        cores: 30.0,
+        ram_gb: 100.0,
         expect_s: 5.0,
         due_s: Value::Null,
     };
@@ -313,18 +358,17 @@
     if deployment.submit(&job.body()).await != 201 {
         return Outcome::CouldNotRun("not accepted".to_owned());
     }
+    // The limit of the pages for a job that waits while a machine that fits has room.
     let accepted_at = Instant::now();
-    let path = format!("/api/jobs/{}", job.id);
-    while accepted_at.elapsed() < Duration::from_secs(95) {
-        let (_, body) = deployment.ask(0, "GET", &path, None).await;
-        if text(&body, "status") == "done" {
-            return Outcome::Held("the job is done".to_owned());
+    while accepted_at.elapsed() < Duration::from_secs(91) {
+        if !world.starts_of(job.id).is_empty() {
+            return Outcome::Held("the job was started".to_owned());
         }
-        sleep(5.0).await;
+        sleep(0.25).await;
     }
-    let started = world.starts_of(job.id).len();
+    let same = deployment.leader() == Some(leader);
     Outcome::Broken(format!(
-        "{started} tasks of the gang were started in 95 s, with {} machines up, and it is not done",
+        "the job waited 91 s beside {} empty machines (the leader is the same: {same})",
         world.machines_up()
     ))
 }
--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -49,6 +49,7 @@
     settings: PathBuf,
     log: PathBuf,
     public: String,
+    peer: String,
     process: Option<Child>,
 }
 
@@ -114,6 +115,7 @@
         let mut proxies = BTreeMap::new();
         for from in 0..count {
             proxies.insert(format!("{from}-state"), Proxy::start(&store_address));
+            proxies.insert(format!("{from}-cloud"), Proxy::start(&cloud));
             for to in (0..count).filter(|to| *to != from) {
                 proxies.insert(format!("{from}-{to}"), Proxy::start(&peer[to]));
             }
@@ -144,11 +146,12 @@
                 .collect();
             let text = format!(
                 "member = \"knot-{index}\"\narea = \"{}\"\npublic_addr = \"{}\"\npeer_bind = \"{}\"\n\n{known}\
-                 [external]\ncloud = \"{cloud}\"\nstate = \"{}\"\n\n\
+                 [external]\ncloud = \"{}\"\nstate = \"{}\"\n\n\
                  [params]\ncount = {count}\nzones = {:?}\nclock_off_ms = 25.0\n\n{}\n{}",
                 zone(index),
                 public[index],
                 peer[index],
+                deployment.proxies[&format!("{index}-cloud")].address,
                 deployment.proxies[&format!("{index}-state")].address,
                 site.zones,
                 site.teams,
@@ -160,6 +163,7 @@
                 settings,
                 log: deployment.folder.join(format!("knot-{index}.log")),
                 public: public[index].clone(),
+                peer: peer[index].clone(),
                 process: None,
             });
             deployment.start_controller(index);
@@ -212,12 +216,39 @@
     pub fn cut(&self, index: usize, mode: LinkMode) {
         for (link, proxy) in &self.proxies {
             let (from, to) = link.split_once('-').unwrap();
-            if from == index.to_string() || to == index.to_string() {
+            let of_it = from == index.to_string() || to == index.to_string();
+            if of_it && to != "cloud" {
                 proxy.set_mode(mode);
             }
         }
     }
 
+    /// Sets the mode of the links of all controllers to the cloud.
+    pub fn set_cloud_links(&self, mode: LinkMode) {
+        let links = self
+            .proxies
+            .iter()
+            .filter(|(link, _)| link.ends_with("-cloud"));
+        links.for_each(|(_, proxy)| proxy.set_mode(mode));
+    }
+
+    /// Sends an operator's request; empty without an answer of status 200.
+    pub async fn operate(&self, node: usize, path: &str, put: Option<&str>) -> String {
+        let url = format!("http://{}/admin/{path}", self.controllers[node].peer);
+        let sent = match put {
+            Some(body) => self.http.put(url).send_body(body.to_owned()).await,
+            None => self.http.get(url).send().await,
+        };
+        let Ok(mut response) = sent else {
+            return String::new();
+        };
+        if response.status().as_u16() != 200 {
+            return String::new();
+        }
+        let bytes = response.body().await.unwrap_or_default();
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
     /// The controller that the state service has on record as the leader.
     pub fn leader(&self) -> Option<usize> {
         let record = self.store.get("kl/leader")?;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -50,7 +50,7 @@
     match case {
         "start-after-cancel" => cases::start_after_cancel(root, trouble, lines).await,
         "far-deadline" => cases::far_deadline(root, trouble, lines).await,
-        "many-small" => cases::many_small(root, trouble, lines).await,
+        "dropped-return" => cases::dropped_return(root, trouble, lines).await,
         _ => Outcome::CouldNotRun("unknown case".to_owned()),
     }
 }
