--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -1,5 +1,8 @@
 //! The cloud and its machines, by the users' protocol page: rentals, the machine list, workers with reports,
 //! leases, tokens, tasks and gangs.
+//!
+//! Only what the cases need is played: no task of a running gang is lost, no start of a gang waits for longer
+//! than `gang_wait_s`, no task saves, and a machine fetches an image in a fixed time and keeps it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::TcpListener;
