Log what becomes of releases and rentals whose outcome is unknown

Cause: a machine stays marked as being released, and the log shows neither that a release got no response nor that a scaling cycle dropped it, so that the possible causes (dropped while not leading, cycle ended early, refused by the cloud, refused by placement for another reason) can't be told apart.

Change: events for a release without a response, a refused one, a dropped request, and a cycle that ends early.

--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -156,14 +156,12 @@
             self.read_catalog().await;
         }
         let Some(leadership) = current else {
-            self.pending_rentals.clear();
-            self.pending_releases.clear();
+            self.drop_pending();
             return false;
         };
         if leadership.term != self.term {
+            self.drop_pending();
             self.term = leadership.term;
-            self.pending_rentals.clear();
-            self.pending_releases.clear();
             self.listing.reset();
         }
         self.read_machine_list().await;
@@ -176,6 +174,7 @@
         let mut retry_soon = false;
         for action in self.plan_actions() {
             if !self.leads_any_term() {
+                info!(term = self.term.0, ?action, "scaling cycle ended early");
                 return false;
             }
             match action {
@@ -188,6 +187,16 @@
         retry_soon
     }
 
+    /// Drops the requests with an unknown outcome.
+    fn drop_pending(&mut self) {
+        for PendingRental { request, .. } in self.pending_rentals.drain(..) {
+            info!(request = %request.request, term = self.term.0, "pending rental dropped");
+        }
+        for PendingRelease { machines, reason } in self.pending_releases.drain(..) {
+            info!(?machines, %reason, term = self.term.0, "pending release dropped");
+        }
+    }
+
     /// Whether this controller leads in any term.
     fn leads_any_term(&self) -> bool {
         let leadership = self.shared.election.lock().leadership(Instant::now());
@@ -385,9 +394,12 @@
                 self.shared.metrics.lock().counts.returned += machines.len() as u64;
                 self.shared.machines_released(machines);
             }
-            Err(CloudError::OutcomeUnknown) => self.pending_releases.push(release),
+            Err(CloudError::OutcomeUnknown) => {
+                warn!(?machines, %reason, "release outcome unknown");
+                self.pending_releases.push(release);
+            }
             Err(error) => {
-                debug!(%error, ?machines, "release failed");
+                info!(%error, ?machines, %reason, "release refused");
                 if let Some(cluster) = self.shared.cluster.lock().as_mut() {
                     set_releasing(cluster, machines, false);
                 }
