Keep the requests to the cloud while leadership is interrupted within a term

A job waited for 91 s beside three empty machines that fit it. They were marked as being released, got no tasks, and were not released before the next change of leader.

Cause: a release that is decided marks its machines. The scaling loop dropped its pending releases in each cycle in which it did not lead (an outage of the state service is enough), and returned early from a cycle with releases that it had marked and not sent. The cluster state, with the marks, goes on in the same term.

The early end is a second way to the same state; it was found by reading and has a test of its own.

Change: fleet::outstanding owns each mark together with its request. Requests outlast an interruption of the leadership and end with the cluster state of their term. What was never sent is withdrawn before the next cycle, which decides anew; what got no response is repeated. The requests' part of the actor has its own file. The simulation now uses this code, has faults of the cloud, and checks that no machine stays marked.

--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -1,24 +1,24 @@
 //! The scaling actor, which sends all requests to the cloud: it reads the catalog of machine types and the
 //! list of machines, rents machines and releases them.
 
+mod requests;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix::prelude::*;
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 
 use super::scheduler::SharedDemand;
-use crate::cluster::{Catalog, Cluster, Machine};
-use crate::fleet::client::{CloudClient, CloudError};
+use crate::cluster::{Catalog, Machine};
+use crate::fleet::client::CloudClient;
 use crate::fleet::listing::MachineListing;
-use crate::fleet::{
-    self, CapacityBackoff, FleetView, ReleaseReason, ScalingAction, RENTAL_SIZE_MAX,
-};
-use crate::model::{MachineId, MachinePool, Term};
+use crate::fleet::outstanding::{OutstandingRelease, OutstandingRequests};
+use crate::fleet::{self, CapacityBackoff, FleetView, ScalingAction};
+use crate::model::MachinePool;
 use crate::rate_limit::TokenBucket;
 use crate::service::Shared;
 use crate::time::secs;
-use crate::wire::RentalRequest;
 
 /// Time between two scaling cycles.
 const SCALING_INTERVAL: Duration = Duration::from_secs(1);
@@ -33,31 +33,6 @@
 /// Time until the next scaling cycle after a rental for which there was too little capacity.
 const CAPACITY_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The outcome of a rental request.
-enum RentalOutcome {
-    /// All machines of the request were rented.
-    Complete,
-    /// Fewer machines than requested were rented, or none.
-    NoCapacity,
-    /// The request was not sent, it failed for a reason other than capacity, or it is unknown whether
-    /// machines were rented.
-    Unknown,
-}
-
-/// A rental request with an unknown outcome. It is repeated under the same idempotency key until the cloud
-/// responds.
-struct PendingRental {
-    request: RentalRequest,
-    pool: MachinePool,
-}
-
-/// A release with an unknown outcome. The cloud may still execute it, so the machines get no tasks, and the
-/// release is repeated until the cloud responds.
-struct PendingRelease {
-    machines: Vec<MachineId>,
-    reason: ReleaseReason,
-}
-
 /// Runs the scaling loop of this process; only the leader rents and releases machines.
 pub struct FleetActor {
     shared: Arc<Shared>,
@@ -86,10 +61,7 @@
             cloud: self.cloud.clone(),
             unmet_demand: self.unmet_demand.clone(),
             capacity_backoff: CapacityBackoff::default(),
-            rental_requests: 0,
-            pending_rentals: Vec::new(),
-            pending_releases: Vec::new(),
-            term: Term(0),
+            requests: OutstandingRequests::default(),
             catalog_read_at: None,
             listing: MachineListing::default(),
             request_budget: TokenBucket::new(rps * CLOUD_RATE_FRACTION, Instant::now()),
@@ -103,10 +75,7 @@
     cloud: CloudClient,
     unmet_demand: SharedDemand,
     capacity_backoff: CapacityBackoff,
-    rental_requests: u64,
-    pending_rentals: Vec<PendingRental>,
-    pending_releases: Vec<PendingRelease>,
-    term: Term,
+    requests: OutstandingRequests,
     catalog_read_at: Option<Instant>,
     listing: MachineListing,
     request_budget: TokenBucket,
@@ -155,77 +124,38 @@
         if catalog_needed && Self::is_due(self.catalog_read_at, CATALOG_INTERVAL) {
             self.read_catalog().await;
         }
+        self.withdraw_unsent_releases();
         let Some(leadership) = current else {
-            self.drop_pending();
             return false;
         };
-        if leadership.term != self.term {
-            self.drop_pending();
-            self.term = leadership.term;
+        if self.requests.enter_term(leadership.term) {
             self.listing.reset();
         }
         self.read_machine_list().await;
-        for rental in std::mem::take(&mut self.pending_rentals) {
-            self.request_rental(rental).await;
-        }
-        for release in std::mem::take(&mut self.pending_releases) {
-            self.release(release).await;
-        }
+        self.repeat_requests().await;
+        let rentals = self.plan_actions();
         let mut retry_soon = false;
-        for action in self.plan_actions() {
-            if !self.leads_any_term() {
-                info!(term = self.term.0, ?action, "scaling cycle ended early");
-                return false;
-            }
-            match action {
-                ScalingAction::Rent(pool, count) => retry_soon |= self.rent(pool, count).await,
-                ScalingAction::Release(machines, reason) => {
-                    self.release(PendingRelease { machines, reason }).await;
-                }
-            }
+        for (pool, count) in rentals {
+            retry_soon |= self.rent(pool, count).await;
         }
+        self.send_new_releases().await;
         retry_soon
     }
 
-    /// Drops the requests with an unknown outcome.
-    fn drop_pending(&mut self) {
-        for PendingRental { request, .. } in self.pending_rentals.drain(..) {
-            info!(request = %request.request, term = self.term.0, "pending rental dropped");
-        }
-        for PendingRelease { machines, reason } in self.pending_releases.drain(..) {
-            info!(?machines, %reason, term = self.term.0, "pending release dropped");
-        }
-    }
-
-    /// Whether this controller leads in any term.
-    fn leads_any_term(&self) -> bool {
-        let leadership = self.shared.election.lock().leadership(Instant::now());
-        leadership.is_some()
-    }
-
-    /// Rents machines in as many requests as needed, until one is not fulfilled. Returns whether the
-    /// pool had too little capacity.
-    async fn rent(&mut self, pool: MachinePool, count: u32) -> bool {
-        let mut remaining = count;
-        while remaining > 0 && self.leads_any_term() {
-            self.rental_requests += 1;
-            let request = RentalRequest {
-                // The key is unique, since a term has one leader and the leader numbers its requests.
-                request: format!("kl-{}-{}", self.term.0, self.rental_requests),
-                machine_type: pool.machine_type.clone(),
-                zone: pool.zone.clone(),
-                spot: pool.spot,
-                count: remaining.min(RENTAL_SIZE_MAX),
-            };
-            remaining -= request.count;
-            let pool = pool.clone();
-            match self.request_rental(PendingRental { request, pool }).await {
-                RentalOutcome::Complete => {}
-                RentalOutcome::NoCapacity => return true,
-                RentalOutcome::Unknown => return false,
-            }
+    /// Withdraws the releases that an earlier cycle ended without sending.
+    fn withdraw_unsent_releases(&mut self) {
+        let mut guard = self.shared.cluster.lock();
+        let cluster = guard
+            .as_mut()
+            .filter(|cluster| cluster.term == self.requests.term());
+        let withdrawn = self.requests.withdraw_unsent(cluster);
+        drop(guard);
+        for OutstandingRelease {
+            machines, reason, ..
+        } in withdrawn
+        {
+            info!(?machines, %reason, "release withdrawn before it was sent");
         }
-        false
     }
 
     async fn read_catalog(&mut self) {
@@ -278,12 +208,14 @@
         }
     }
 
-    fn plan_actions(&mut self) -> Vec<ScalingAction> {
+    /// Decides on rentals and releases. Returns the rentals; the releases are outstanding from now on.
+    fn plan_actions(&mut self) -> Vec<(MachinePool, u32)> {
         let now = Instant::now();
-        let unmet_demand = self.unmet_demand.lock().in_term(self.term).to_vec();
+        let term = self.requests.term();
+        let unmet_demand = self.unmet_demand.lock().in_term(term).to_vec();
         let idle_policy = self.shared.operator.lock().idle_policy();
         let mut guard = self.shared.cluster.lock();
-        let Some(cluster) = guard.as_mut().filter(|cluster| cluster.term == self.term) else {
+        let Some(cluster) = guard.as_mut().filter(|cluster| cluster.term == term) else {
             return Vec::new();
         };
         let heartbeats_missing = cluster
@@ -305,12 +237,16 @@
             idle_policy,
             now,
         });
-        for action in &actions {
-            if let ScalingAction::Release(machines, _) = action {
-                set_releasing(cluster, machines, true);
+        let mut rentals = Vec::new();
+        for action in actions {
+            match action {
+                ScalingAction::Rent(pool, count) => rentals.push((pool, count)),
+                ScalingAction::Release(machines, reason) => {
+                    self.requests.add_release(cluster, machines, reason);
+                }
             }
         }
-        actions
+        rentals
     }
 
     /// Whether this process still leads in the term for which the request was decided. This is checked
@@ -318,102 +254,7 @@
     /// limit, the request before, or a pause of the process.
     fn still_leads_term(&self) -> bool {
         let leadership = self.shared.election.lock().leadership(Instant::now());
-        leadership.is_some_and(|leadership| leadership.term == self.term)
-    }
-
-    async fn request_rental(&mut self, rental: PendingRental) -> RentalOutcome {
-        self.wait_for_rate_limit().await;
-        if !self.still_leads_term() {
-            return RentalOutcome::Unknown;
-        }
-        let PendingRental { request, pool } = &rental;
-        let outcome = self.cloud.rent(request).await;
-        let now = Instant::now();
-        match outcome {
-            Ok(names) => self.machines_rented(&names, &rental, now),
-            Err(CloudError::NoCapacity) => {
-                info!(machine_type = %pool.machine_type, zone = %pool.zone, spot = pool.spot, "no capacity in pool");
-                self.capacity_backoff.record_exhausted(pool, now);
-                RentalOutcome::NoCapacity
-            }
-            Err(CloudError::OutcomeUnknown) => {
-                warn!(request = %request.request, "rental outcome unknown");
-                self.pending_rentals.push(rental);
-                RentalOutcome::Unknown
-            }
-            Err(error) => {
-                debug!(%error, request = %request.request, "rental failed");
-                RentalOutcome::Unknown
-            }
-        }
-    }
-
-    fn machines_rented(
-        &mut self,
-        names: &[String],
-        rental: &PendingRental,
-        now: Instant,
-    ) -> RentalOutcome {
-        let PendingRental { request, pool } = rental;
-        info!(
-            request = %request.request,
-            machine_type = %request.machine_type,
-            zone = %request.zone,
-            spot = request.spot,
-            requested = request.count,
-            rented = names.len(),
-            "machines rented"
-        );
-        let complete = names.len() as u32 >= request.count;
-        if !complete {
-            self.capacity_backoff.record_exhausted(pool, now);
-        }
-        self.shared.metrics.lock().counts.rented += names.len() as u64;
-        if let Some(cluster) = self.shared.cluster.lock().as_mut() {
-            cluster.add_rented_machines(names, pool, now);
-        }
-        if complete {
-            RentalOutcome::Complete
-        } else {
-            RentalOutcome::NoCapacity
-        }
-    }
-
-    async fn release(&mut self, release: PendingRelease) {
-        self.wait_for_rate_limit().await;
-        if !self.still_leads_term() {
-            // The release is still due if this controller leads in this term again at the next scaling
-            // cycle.
-            self.pending_releases.push(release);
-            return;
-        }
-        let PendingRelease { machines, reason } = &release;
-        match self.cloud.release(machines).await {
-            Ok(()) => {
-                info!(?machines, %reason, "machines released");
-                self.shared.metrics.lock().counts.returned += machines.len() as u64;
-                self.shared.machines_released(machines);
-            }
-            Err(CloudError::OutcomeUnknown) => {
-                warn!(?machines, %reason, "release outcome unknown");
-                self.pending_releases.push(release);
-            }
-            Err(error) => {
-                info!(%error, ?machines, %reason, "release refused");
-                if let Some(cluster) = self.shared.cluster.lock().as_mut() {
-                    set_releasing(cluster, machines, false);
-                }
-            }
-        }
-    }
-}
-
-/// Sets or clears the mark by which machines take no tasks while a release is under way.
-fn set_releasing(cluster: &mut Cluster, machines: &[MachineId], releasing: bool) {
-    for id in machines {
-        if let Some(machine) = cluster.machines.get_mut(id) {
-            machine.releasing = releasing;
-        }
+        leadership.is_some_and(|leadership| leadership.term == self.requests.term())
     }
 }
 
--- a/src/actors/fleet/tests.rs
+++ b/src/actors/fleet/tests.rs
@@ -1,13 +1,31 @@
+//! Tests of the scaling loop, against a stand-in for the cloud on loopback.
+
+mod cloud;
+
 use std::time::SystemTime;
 
 use parking_lot::Mutex;
 
+use self::cloud::{Answer, CloudStandIn};
 use super::*;
+use crate::cluster::{Cluster, HeartbeatSource, PlacementRefusal};
 use crate::config::Settings;
 use crate::demand::{TermDemand, UnmetDemand};
 use crate::leader::Leadership;
-use crate::model::{JobId, JobKind, JobSpec, MachineType, Priority, Resources};
+use crate::model::{
+    FencingToken, JobId, JobKind, JobSpec, MachineId, MachineType, Priority, Resources, Term,
+};
 use crate::store::replica::Replica;
+use crate::wire::Heartbeat;
+
+/// The term in which the controller of a test leads.
+const TERM: Term = Term(2);
+/// The id of its lease.
+const LEASE: u64 = 7;
+/// Age of a lease under which the controller no longer counts as the leader, but does not give up its term.
+const LEASE_AGE_EXPIRED: Duration = Duration::from_secs(6);
+/// Enough requests per second that no test waits for the rate limit.
+const REQUESTS_PER_SECOND: f64 = 10_000.0;
 
 fn cpu_machines() -> Catalog {
     Arc::new(vec![MachineType {
@@ -66,7 +84,7 @@
 fn loop_of_term_2(unmet_demand: SharedDemand) -> ScalingLoop {
     let text = include_str!("../../../deploy/example.toml");
     let shared = Shared::new(Settings::parse(text, "a test").unwrap());
-    let (term, now) = (Term(2), Instant::now());
+    let (term, now) = (TERM, Instant::now());
     let cluster = Cluster::recover(
         term,
         &shared.settings,
@@ -78,33 +96,28 @@
     *shared.cluster.lock() = Some(cluster);
     {
         let mut election = shared.election.lock();
-        election.hold_lease(7, now);
+        election.hold_lease(LEASE, now);
         election.become_leader(Leadership { term, version: 1 });
         election.freshness().confirm(now);
     }
     let cloud = CloudClient::new(shared.settings.external.cloud, awc::Client::default());
+    let mut requests = OutstandingRequests::default();
+    requests.enter_term(term);
     ScalingLoop {
         shared,
         cloud,
         unmet_demand,
         capacity_backoff: CapacityBackoff::default(),
-        rental_requests: 0,
-        pending_rentals: Vec::new(),
-        pending_releases: Vec::new(),
-        term,
+        requests,
         catalog_read_at: None,
         listing: MachineListing::default(),
-        request_budget: TokenBucket::new(1.0, now),
+        request_budget: TokenBucket::new(REQUESTS_PER_SECOND, now),
     }
 }
 
 fn machines_rented_for(demand: SharedDemand) -> u32 {
-    let actions = loop_of_term_2(demand).plan_actions();
-    let rented = actions.iter().map(|action| match action {
-        ScalingAction::Rent(_, count) => *count,
-        ScalingAction::Release(..) => 0,
-    });
-    rented.sum()
+    let rentals = loop_of_term_2(demand).plan_actions();
+    rentals.iter().map(|(_, count)| count).sum()
 }
 
 /// Guards against machines that are rented for jobs which ended long ago: a process that was elected again still
@@ -115,3 +128,110 @@
     assert_eq!(machines_rented_for(of_term(Term(2))), 1);
     assert_eq!(machines_rented_for(of_term(Term(1))), 0);
 }
+
+/// A controller that leads in term 2, with a scaling loop and a stand-in for the cloud.
+struct ScalingLeader {
+    scaling: ScalingLoop,
+    cloud: CloudStandIn,
+}
+
+impl ScalingLeader {
+    /// A leader whose operators have idle machines released at once.
+    fn new() -> Self {
+        Self::with_demand(Vec::new())
+    }
+
+    fn with_demand(demand: Vec<UnmetDemand>) -> Self {
+        let cloud = CloudStandIn::start();
+        let demand = Arc::new(Mutex::new(TermDemand::new(TERM, demand)));
+        let mut scaling = loop_of_term_2(demand);
+        scaling.cloud = CloudClient::new(cloud.address, awc::Client::default());
+        scaling.shared.operator.lock().idle_factor = 0.0;
+        Self { scaling, cloud }
+    }
+
+    /// Adds a machine without tasks that has reported this term's token.
+    fn add_idle_machine(&self, name: &str) -> MachineId {
+        self.add_idle_machine_of_type(name, "cpu16")
+    }
+
+    fn add_idle_machine_of_type(&self, name: &str, machine_type: &str) -> MachineId {
+        let heartbeat = Heartbeat {
+            machine: name.to_owned(),
+            address: "127.0.0.1:9".to_owned(),
+            machine_type: machine_type.to_owned(),
+            zone: "a".to_owned(),
+            spot: false,
+            epoch: 1,
+            sequence: 1,
+            token: FencingToken::first(TERM).0,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        let now = Instant::now();
+        self.scaling.shared.with_cluster_of(TERM, |cluster| {
+            cluster.apply_heartbeat(&heartbeat, HeartbeatSource::Worker, now);
+        });
+        MachineId(name.into())
+    }
+
+    /// Why the machine gets no new tasks; an inner `None` if it may get some, an outer one if it is gone.
+    fn refusal(&self, id: &MachineId) -> Option<Option<PlacementRefusal>> {
+        let guard = self.scaling.shared.cluster.lock();
+        let cluster = guard.as_ref()?;
+        let machine = cluster.machines.get(id)?;
+        Some(machine.placement_refusal(Instant::now(), cluster.timing.suspect_after))
+    }
+
+    /// Lets the lease expire by the controller's clock. It does not lead until it has renewed the lease, in the
+    /// same term and with the same cluster state.
+    fn interrupt_leadership(shared: &Shared) {
+        let mut election = shared.election.lock();
+        election.hold_lease(LEASE, Instant::now() - LEASE_AGE_EXPIRED);
+        assert_eq!(election.leadership(Instant::now()), None);
+    }
+
+    fn resume_leadership(&self) {
+        let now = Instant::now();
+        let mut election = self.scaling.shared.election.lock();
+        election.hold_lease(LEASE, now);
+        election.freshness().confirm(now);
+        assert!(election.leadership(now).is_some());
+    }
+}
+
+/// Guards against machines that stay blocked for the rest of the term: the releases without a response were dropped
+/// while the leadership was interrupted, and the machines were neither released nor given any task.
+#[actix_web::test]
+async fn release_without_response_is_repeated_after_leadership_was_interrupted_within_the_term() {
+    let mut leader = ScalingLeader::new();
+    let machine = leader.add_idle_machine("m-000001");
+    leader.cloud.next(Answer::LostBeforeExecution);
+    leader.scaling.run_cycle().await;
+    assert_eq!(leader.cloud.released(), Vec::<String>::new());
+    ScalingLeader::interrupt_leadership(&leader.scaling.shared);
+    leader.scaling.run_cycle().await;
+    leader.resume_leadership();
+    leader.scaling.run_cycle().await;
+    assert_eq!(leader.cloud.released(), ["m-000001"]);
+    assert_eq!(leader.refusal(&machine), None, "the machine is gone");
+}
+
+/// Guards against the same, where the cycle ended before it sent the release for which it had marked the machine.
+#[actix_web::test]
+async fn machine_whose_release_was_decided_but_not_sent_is_not_blocked() {
+    let mut leader = ScalingLeader::new();
+    leader.add_idle_machine("m-000001");
+    let machine = leader.add_idle_machine_of_type("m-000002", "withdrawn16");
+    // The two machines are released for different reasons, so by two requests.
+    let shared = leader.scaling.shared.clone();
+    let interrupt = move || ScalingLeader::interrupt_leadership(&shared);
+    leader.cloud.on_next_request(interrupt);
+    leader.scaling.run_cycle().await;
+    assert_eq!(leader.cloud.released(), ["m-000001"]);
+    leader.scaling.run_cycle().await;
+    assert_eq!(leader.refusal(&machine), Some(None));
+    leader.resume_leadership();
+    leader.scaling.run_cycle().await;
+    assert_eq!(leader.cloud.released(), ["m-000001", "m-000002"]);
+}
--- a/src/api/admin/views.rs
+++ b/src/api/admin/views.rs
@@ -66,7 +66,7 @@
                 .count(),
             reported_s_ago: since_heartbeat.map(|age| age.as_secs_f64()),
             drain: machine.drain.map(DrainReason::label),
-            releasing: machine.releasing,
+            releasing: machine.is_releasing(),
             passed_over: machine
                 .placement_refusal(now, cluster.timing.suspect_after)
                 .map(PlacementRefusal::as_str),
--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -200,8 +200,8 @@
     pub images: Vec<(ImageId, f64)>,
     /// Why it is drained; `None` if it is not.
     pub drain: Option<DrainReason>,
-    /// Whether its release has been requested.
-    pub releasing: bool,
+    /// Whether its release is outstanding; see [`Cluster::set_releasing`](super::Cluster::set_releasing).
+    pub(super) releasing: bool,
     /// Jobs whose tasks failed on it since a task last completed there.
     pub faults: Vec<FaultAttribution>,
     /// For each of the last few jobs on it, the ratio of run time to estimate of the last task.
@@ -286,6 +286,11 @@
         self.load.tasks > 0
     }
 
+    /// Whether its release is outstanding, so that it gets no new tasks.
+    pub fn is_releasing(&self) -> bool {
+        self.releasing
+    }
+
     /// Whether it should be running but has sent no heartbeat in this term.
     pub fn awaits_first_heartbeat(&self) -> bool {
         let up = self.cloud_status == CloudStatus::Running
--- a/src/cluster/sync.rs
+++ b/src/cluster/sync.rs
@@ -167,6 +167,16 @@
         self.scheduling_needed = true;
     }
 
+    /// Marks machines whose release is outstanding, which get no new tasks, or clears this mark.
+    pub fn set_releasing(&mut self, machines: &[MachineId], releasing: bool) {
+        for id in machines {
+            if let Some(machine) = self.machines.get_mut(id) {
+                machine.releasing = releasing;
+            }
+        }
+        self.scheduling_needed |= !releasing;
+    }
+
     /// Adds machines that the cloud has rented to this deployment.
     pub fn add_rented_machines(&mut self, names: &[String], pool: &MachinePool, now: Instant) {
         for name in names {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 mod demand;
 pub mod listing;
+pub mod outstanding;
 mod partition;
 mod release_reason;
 mod scale_in;
--- a/src/fleet/scale_in/failed.rs
+++ b/src/fleet/scale_in/failed.rs
@@ -26,7 +26,7 @@
     let machines = cluster
         .machines
         .values()
-        .filter(|machine| !machine.releasing);
+        .filter(|machine| !machine.is_releasing());
     let releases = machines.filter_map(|machine| {
         let assessment = Assessment {
             cluster,
--- a/src/fleet/scale_in/idle.rs
+++ b/src/fleet/scale_in/idle.rs
@@ -60,7 +60,7 @@
 fn is_idle(cluster: &Cluster, machine: &Machine, now: Instant) -> bool {
     let usable_and_free = machine.last_heartbeat_at.is_some()
         && machine.fenced
-        && !machine.releasing
+        && !machine.is_releasing()
         && !machine.is_busy();
     // A machine in a partitioned zone lost its tasks because its lease expired, not because demand
     // fell.
--- a/src/fleet/scale_out/bins.rs
+++ b/src/fleet/scale_out/bins.rs
@@ -127,7 +127,7 @@
         };
         *machine_counts.entry(index).or_default() += 1;
         let is_booting = machine.last_heartbeat_at.is_none()
-            && !machine.releasing
+            && !machine.is_releasing()
             && !cluster.unreconciled.contains(&machine.id);
         if !is_booting {
             continue;
--- a/tests/common/simulation.rs
+++ b/tests/common/simulation.rs
@@ -10,6 +10,8 @@
 
 #[path = "simulation/cloud.rs"]
 mod cloud;
+#[path = "simulation/cloud_requests.rs"]
+mod cloud_requests;
 #[path = "simulation/controllers.rs"]
 mod controllers;
 #[path = "simulation/delivery.rs"]
@@ -43,6 +45,7 @@
 };
 use knotlanding::config::{Peer, Settings, WorkerSettings};
 use knotlanding::demand::UnmetDemand;
+use knotlanding::fleet::outstanding::OutstandingRequests;
 use knotlanding::fleet::{self, CapacityBackoff, FleetView, IdlePolicy, ScalingAction};
 use knotlanding::leader::Leadership;
 use knotlanding::model::{
@@ -67,6 +70,8 @@
 use rand::{Rng, SeedableRng};
 
 use crate::test_leader::machine_types;
+pub use cloud_requests::CloudFault;
+use cloud_requests::{CloudCall, CloudExchange, CloudResponse, CloudState};
 use controllers::Controller;
 use delivery::Message;
 pub use faults::{timed_fault, Fault, TimedFault};
@@ -116,6 +121,7 @@
     /// Maximum delay of a cancellation's handler in seconds, and the end of the fault.
     handler_delay: (f64, f64),
     batch_faults: (BatchFaults, f64),
+    pub cloud: CloudState,
     /// Follower whose batches are lost, and the end of the fault.
     isolated_follower: Option<(usize, f64)>,
     /// Whether link monitoring is enabled on every controller.
@@ -157,6 +163,8 @@
     pub faults_end_at: f64,
     /// Time since which a job waits although there is room for it, by job id.
     placeable_since: BTreeMap<String, f64>,
+    /// Time since which the leader keeps a machine from tasks in order to release it, by machine.
+    releasing_since: BTreeMap<String, f64>,
     run_hash: RunHash,
 }
 
@@ -185,6 +193,7 @@
             cancel_at_completion: (0.0, 0.0),
             handler_delay: (0.0, 0.0),
             batch_faults: (BatchFaults::default(), 0.0),
+            cloud: CloudState::default(),
             isolated_follower: None,
             links_enabled,
             link_faults: Vec::new(),
@@ -212,6 +221,7 @@
             peers_refuse_connections: seed % 2 == 1,
             faults_end_at: f64::INFINITY,
             placeable_since: BTreeMap::new(),
+            releasing_since: BTreeMap::new(),
             run_hash: RunHash::default(),
             settings,
         };
@@ -219,16 +229,21 @@
             let controller = simulation.new_controller(number, 1);
             simulation.controllers.push(controller);
         }
+        simulation.boot_initial_machines();
+        simulation
+    }
+
+    /// Boots the machines with which every run begins: both types, in both zones.
+    fn boot_initial_machines(&mut self) {
         for index in 0..6 {
             let pool = MachinePool {
                 machine_type: if index % 2 == 0 { "cpu16" } else { "gpu2" }.to_owned(),
                 zone: if index % 4 < 2 { "north" } else { "south" }.to_owned(),
                 spot: false,
             };
-            let name = simulation.new_machine_name();
-            simulation.boot_machine(name, pool);
+            let name = self.new_machine_name();
+            self.boot_machine(name, pool);
         }
-        simulation
     }
 
     fn instant(&self) -> Instant {
@@ -315,6 +330,7 @@
             // A check once per second is sufficient for a limit of 90 s.
             if now_s > self.faults_end_at && ((now_s / STEP_S) as u64).is_multiple_of(20) {
                 self.check_waiting_jobs();
+                self.check_releases();
             }
         }
     }
--- a/tests/common/simulation/controllers.rs
+++ b/tests/common/simulation/controllers.rs
@@ -27,6 +27,9 @@
     pub(super) writes_paused_until: f64,
     pub(super) next_fleet_step_at: f64,
     pub(super) unmet_demand: Vec<UnmetDemand>,
+    pub(super) requests: OutstandingRequests,
+    /// Requests to the cloud that have no outcome yet.
+    pub(super) cloud_responses_awaited: usize,
     pub(super) capacity_backoff: CapacityBackoff,
     /// Messages that arrived while the process was paused.
     pub(super) held_messages: Vec<Message>,
@@ -66,6 +69,8 @@
             writes_paused_until: 0.0,
             next_fleet_step_at: self.now_s + 1.0,
             unmet_demand: Vec::new(),
+            requests: OutstandingRequests::default(),
+            cloud_responses_awaited: 0,
             capacity_backoff: CapacityBackoff::default(),
             held_messages: Vec::new(),
             forwarding_state: ForwardingState::default(),
@@ -444,61 +449,6 @@
             .is_some_and(|(affected, until)| affected == index && self.now_s < until)
     }
 
-    pub(super) fn step_fleet(&mut self, index: usize) {
-        let now = self.instant();
-        let shared = self.controllers[index].shared.clone();
-        if shared.election.lock().leadership(now).is_none() {
-            return;
-        }
-        let machine_list = self.machine_list();
-        let incarnation = self.controllers[index].incarnation;
-        let actions = {
-            let mut guard = shared.cluster.lock();
-            let Some(cluster) = guard.as_mut() else {
-                return;
-            };
-            cluster.apply_machine_list(&machine_list, now);
-            let awaits_heartbeats = cluster
-                .machines
-                .values()
-                .any(Machine::awaits_first_heartbeat);
-            if awaits_heartbeats
-                && now.saturating_duration_since(cluster.observing_since) < Duration::from_secs(5)
-            {
-                return;
-            }
-            fleet::detect_partitions(cluster, now);
-            let actions = fleet::plan(&FleetView {
-                cluster,
-                policy: &self.policy,
-                unmet_demand: &self.controllers[index].unmet_demand,
-                capacity_backoff: &self.controllers[index].capacity_backoff,
-                idle_policy: IdlePolicy::default(),
-                now,
-            });
-            for action in &actions {
-                if let ScalingAction::Release(ids, _) = action {
-                    for id in ids {
-                        if let Some(machine) = cluster.machines.get_mut(id) {
-                            machine.releasing = true;
-                        }
-                    }
-                }
-            }
-            actions
-        };
-        for action in actions {
-            match action {
-                ScalingAction::Rent(pool, count) => {
-                    self.send(Message::Rent(index, incarnation, pool, count))
-                }
-                ScalingAction::Release(ids, _) => {
-                    self.send(Message::Release(index, incarnation, ids))
-                }
-            }
-        }
-    }
-
     pub(super) fn step_controller(&mut self, index: usize) {
         if !self.controllers[index].is_running {
             if self.now_s >= self.controllers[index].restart_at {
--- a/tests/common/simulation/delivery.rs
+++ b/tests/common/simulation/delivery.rs
@@ -36,14 +36,12 @@
     /// Controller that handles a user's cancellation and its incarnation, the job, the verdict that the
     /// handler has read, and the time at which the read was sent.
     ResumedCancellation(usize, u64, String, Option<Verdict>, f64),
-    /// Request to the cloud from a controller and its incarnation.
-    Release(usize, u64, Vec<MachineId>),
-    /// Response to the controller and its incarnation.
-    Released(usize, u64, Vec<MachineId>),
-    /// Request to the cloud from a controller and its incarnation, with the number of machines.
-    Rent(usize, u64, MachinePool, u32),
-    /// Response to the controller and its incarnation, with the names of the rented machines.
-    Rented(usize, u64, MachinePool, Vec<String>),
+    /// A controller's request on its way to the cloud.
+    CloudRequest(Box<CloudExchange>),
+    /// The cloud's response to a controller's request, or the timeout of the request.
+    CloudResponse(Box<CloudExchange>, CloudResponse),
+    /// A request that the cloud executes late, and whose sender gets no response.
+    LateCloudCall(CloudCall),
     MachineBoot(String, MachinePool),
     /// Receiving controller, the encoded batch, the follower with its incarnation, and the batch's
     /// number there.
@@ -114,10 +112,13 @@
             Message::DirectCommandResponse(index, incarnation, heartbeat, token, sent_at) => {
                 self.receive_command_response(index, incarnation, heartbeat, token, sent_at)
             }
-            Message::Release(..)
-            | Message::Released(..)
-            | Message::Rent(..)
-            | Message::Rented(..) => self.deliver_cloud(message),
+            Message::CloudRequest(exchange) => self.receive_cloud_request(exchange),
+            Message::CloudResponse(exchange, response) => {
+                self.receive_cloud_response(&exchange, response)
+            }
+            Message::LateCloudCall(call) => {
+                self.execute_cloud_call(&call);
+            }
             Message::MachineBoot(name, pool) => self.boot_machine(name, pool),
         }
     }
@@ -141,33 +142,6 @@
         }
     }
 
-    /// Delivers a request to the cloud, or its response to a controller.
-    fn deliver_cloud(&mut self, message: Message) {
-        match message {
-            Message::Release(index, incarnation, ids) => {
-                for id in &ids {
-                    self.workers.remove(&*id.0);
-                    self.failed_machines.remove(&*id.0);
-                }
-                self.send(Message::Released(index, incarnation, ids));
-            }
-            Message::Released(index, incarnation, ids) => {
-                let to_hold = || Message::Released(index, incarnation, ids.clone());
-                if self.accepts(index, Some(incarnation), to_hold) {
-                    self.controllers[index].shared.machines_released(&ids);
-                }
-            }
-            Message::Rent(index, incarnation, pool, count) => {
-                let names = self.rent_machines(&pool, count);
-                self.send(Message::Rented(index, incarnation, pool, names));
-            }
-            Message::Rented(index, incarnation, pool, names) => {
-                self.receive_rental_response(index, incarnation, pool, names)
-            }
-            _ => {}
-        }
-    }
-
     /// Delivers a row, or the outcome of one, to a controller.
     fn deliver_row(&mut self, message: Message) {
         match message {
@@ -256,31 +230,6 @@
         }
     }
 
-    /// Delivers the cloud's response to the controller that requested the rental.
-    fn receive_rental_response(
-        &mut self,
-        index: usize,
-        incarnation: u64,
-        pool: MachinePool,
-        names: Vec<String>,
-    ) {
-        if !self.accepts(index, Some(incarnation), || {
-            Message::Rented(index, incarnation, pool.clone(), names.clone())
-        }) {
-            return;
-        }
-        let now = self.instant();
-        let shared = self.controllers[index].shared.clone();
-        if let Some(cluster) = shared.cluster.lock().as_mut() {
-            cluster.add_rented_machines(&names, &pool, now);
-        }
-        if names.is_empty() {
-            self.controllers[index]
-                .capacity_backoff
-                .record_exhausted(&pool, now);
-        }
-    }
-
     /// Delivers a direct command to a worker.
     fn receive_direct_command(
         &mut self,
--- a/tests/common/simulation/faults.rs
+++ b/tests/common/simulation/faults.rs
@@ -49,6 +49,10 @@
     CancelAtCompletion(f64),
     /// Batches of forwarded heartbeats are lost, delayed or duplicated.
     Batches(BatchFaults),
+    /// The cloud treats requests of controllers in this way.
+    Cloud(CloudFault),
+    /// The operators have idle machines released at once.
+    ReleaseIdleMachines,
     /// A link has this mode.
     Link(LinkId, LinkMode),
     /// The controller with this index terminates, and restarts after 0.2 s.
@@ -114,6 +118,8 @@
                 }
             }
             Fault::Batches(shares) => self.batch_faults = (shares, until),
+            Fault::Cloud(fault) => self.cloud.fault = Some((fault, until)),
+            Fault::ReleaseIdleMachines => self.cloud.idle_released_until = until,
             Fault::FollowerCutFromLeader => {
                 let leader = self.leader();
                 let follower = (0..3).find(|index| Some(*index) != leader);
--- a/tests/common/simulation/invariants.rs
+++ b/tests/common/simulation/invariants.rs
@@ -6,7 +6,32 @@
 /// limit.
 const WAIT_WITH_ROOM_MAX_S: f64 = 90.0;
 
+/// Maximum time for which the leader may keep a machine from tasks in order to release it, after all faults.
+const RELEASE_MAX_S: f64 = 30.0;
+
 impl Simulation {
+    /// Checks that no machine is kept from tasks for a release that never comes.
+    pub(super) fn check_releases(&mut self) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let releasing: BTreeSet<String> = {
+            let guard = self.controllers[leader].shared.cluster.lock();
+            let machines = guard.iter().flat_map(|cluster| cluster.machines.values());
+            let marked = machines.filter(|machine| machine.is_releasing());
+            marked.map(|machine| machine.id.to_string()).collect()
+        };
+        let now_s = self.now_s;
+        self.releasing_since
+            .retain(|name, _| releasing.contains(name));
+        for name in releasing {
+            let since = *self.releasing_since.entry(name.clone()).or_insert(now_s);
+            if now_s - since > RELEASE_MAX_S {
+                self.record_violation("blocked", name);
+            }
+        }
+    }
+
     /// Checks after a step that the tasks of cancelled jobs have ended in time and that teams are within
     /// their limits.
     pub(super) fn check_invariants(&mut self) {
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -14,7 +14,7 @@
 mod test_leader;
 
 use scenario::{seed_range, settings, Scenario, SETTLE_TIME_S};
-use simulation::{timed_fault, BatchFaults, Fault, Simulation, TimedFault};
+use simulation::{timed_fault, BatchFaults, CloudFault, Fault, Simulation, TimedFault};
 use test_leader::array_job;
 
 /// Runs the faults once per seed, with link monitoring disabled.
@@ -282,6 +282,34 @@
     });
 }
 
+/// Guards against machines that stay blocked for the rest of a term: their releases got no response, and the
+/// leadership was interrupted, with the same leader and term before and after.
+#[test]
+fn invariants_hold_when_releases_get_no_response_and_leadership_is_interrupted() {
+    let faults = [
+        CloudFault::RequestsLost,
+        CloudFault::ResponsesLost,
+        CloudFault::Refused,
+        CloudFault::ExecutedLate,
+    ];
+    for cloud_fault in faults {
+        let runs = run_seeds(seed_range(), |offset_s| {
+            vec![
+                timed_fault(20.0 + offset_s, 30.0, Fault::ReleaseIdleMachines),
+                timed_fault(24.0 + offset_s, 20.0, Fault::Cloud(cloud_fault)),
+                timed_fault(32.0 + offset_s, 6.0, Fault::StoreOutage),
+                timed_fault(60.0 + offset_s, 12.0, Fault::Cloud(cloud_fault)),
+                timed_fault(58.0 + offset_s, 30.0, Fault::ReleaseIdleMachines),
+                timed_fault(66.0 + offset_s, 10.0, Fault::StoreOutage),
+            ]
+        });
+        let unanswered = runs.iter().map(|run| run.cloud.unanswered_requests);
+        let is_refused = cloud_fault == CloudFault::Refused;
+        assert!(is_refused || unanswered.sum::<usize>() > 0);
+        assert!(runs.iter().all(|run| run.terms_started == 1));
+    }
+}
+
 /// The jobs are submitted for a minute. Once a second a user cancels the job submitted 0.75 s or 1.75 s
 /// before, so that each cancelled job is cancelled twice.
 #[test]
