Keep a release that got no response when its repetition is refused

What callers saw: a task may be placed on a machine that the cloud then deletes, and be lost with it.

Cause: the refusal of a repeated release withdrew the mark by which its machines get no tasks, although the first request, which got no response, may still be executed late.

Change: a release of which an attempt got no response stays outstanding until the cloud confirms it.

--- a/src/actors/fleet/tests.rs
+++ b/src/actors/fleet/tests.rs
@@ -183,6 +183,11 @@
         Some(machine.placement_refusal(Instant::now(), cluster.timing.suspect_after))
     }
 
+    /// Lets the operators keep idle machines for longer than a test runs.
+    fn keep_idle_machines(&self) {
+        self.scaling.shared.operator.lock().idle_factor = 100.0;
+    }
+
     /// Lets the lease expire by the controller's clock. It does not lead until it has renewed the lease, in the
     /// same term and with the same cluster state.
     fn interrupt_leadership(shared: &Shared) {
@@ -235,3 +240,34 @@
     leader.scaling.run_cycle().await;
     assert_eq!(leader.cloud.released(), ["m-000001", "m-000002"]);
 }
+
+/// Guards against tasks that are lost with their machine: the refusal of a repeated release let the machine take tasks,
+/// while the cloud might still execute the first request, which had got no response.
+#[actix_web::test]
+async fn machine_takes_no_tasks_while_an_unanswered_release_may_still_be_executed() {
+    let mut leader = ScalingLeader::new();
+    let machine = leader.add_idle_machine("m-000001");
+    leader.cloud.next(Answer::LostBeforeExecution);
+    leader.scaling.run_cycle().await;
+    // A cycle that decided anew would keep the machine now.
+    leader.keep_idle_machines();
+    for _ in 0..2 {
+        leader.cloud.next(Answer::Refused);
+        leader.scaling.run_cycle().await;
+        let refusal = leader.refusal(&machine);
+        assert_eq!(refusal, Some(Some(PlacementRefusal::Releasing)));
+    }
+    leader.scaling.run_cycle().await;
+    assert_eq!(leader.cloud.released(), ["m-000001"]);
+    assert_eq!(leader.refusal(&machine), None, "the machine is gone");
+}
+
+/// A release that was refused at once is not executed later, so that its machine may take tasks.
+#[actix_web::test]
+async fn machine_takes_tasks_after_the_cloud_has_refused_its_release() {
+    let mut leader = ScalingLeader::new();
+    let machine = leader.add_idle_machine("m-000001");
+    leader.cloud.next(Answer::Refused);
+    leader.scaling.run_cycle().await;
+    assert_eq!(leader.refusal(&machine), Some(None));
+}
--- a/src/actors/fleet/tests/cloud.rs
+++ b/src/actors/fleet/tests/cloud.rs
@@ -14,6 +14,8 @@
 pub enum Answer {
     /// It executes the request and responds.
     Executed,
+    /// It responds with 503 and does not execute the request.
+    Refused,
     /// It does not execute the request, and its response is cut off.
     LostBeforeExecution,
 }
@@ -80,6 +82,7 @@
 fn respond(answer: Answer, body: Vec<u8>) -> HttpResponse {
     match answer {
         Answer::Executed => HttpResponse::Ok().body(body),
+        Answer::Refused => HttpResponse::ServiceUnavailable().finish(),
         Answer::LostBeforeExecution => {
             let cut_off = Err::<web::Bytes, _>(std::io::Error::other("cut off"));
             HttpResponse::Ok().streaming(futures_util::stream::iter([cut_off]))
--- a/src/fleet/outstanding.rs
+++ b/src/fleet/outstanding.rs
@@ -7,8 +7,9 @@
 //! | --- | --- |
 //! | confirmed | end; the machines are gone |
 //! | not sent, since the scaling cycle ended early | withdrawn before the next cycle, which decides anew |
-//! | refused | withdrawn |
+//! | refused, and never without a response before | withdrawn |
 //! | without a response | stay, since the cloud may execute the request late; it is repeated until confirmed |
+//! | refused after one without a response | stay: only the repetition was certainly not executed |
 //!
 //! Rentals leave no mark. One without a response is repeated under its idempotency key, so that its machines are
 //! known as soon as the cloud responds.
@@ -147,6 +148,7 @@
         };
         match outcome {
             RequestOutcome::Unknown => release.maybe_executed = true,
+            RequestOutcome::NotExecuted if release.maybe_executed => {}
             RequestOutcome::NotExecuted => {
                 if let Some(cluster) = cluster {
                     cluster.set_releasing(&release.machines, false);
