Count the machines of a rental that got no response as rented

What callers saw: the operators pay for machines without any use, one more for each scaling cycle in which the cloud's responses are lost.

Cause: the next cycle decided without the machines of a rental without a response, and rented for the same demand under another idempotency key. A refused repetition, or an interruption of the leadership within the term, let the rental be forgotten.

Change: such a rental stays outstanding until the cloud responds other than by a refusal for now, and is subtracted from what is to be rented of its pool. Errors of the cloud are classified in one place: no complete response, refused for now (429, 5xx), rejected for its content.

--- a/src/actors/fleet/requests.rs
+++ b/src/actors/fleet/requests.rs
@@ -16,18 +16,15 @@
     Complete,
     /// Fewer machines than requested were rented, or none.
     NoCapacity,
-    /// The request was not sent, or refused for a reason other than capacity.
-    NotExecuted,
-    /// No response arrived, so that machines may have been rented.
-    Unknown,
+    /// The request was not sent, or failed for a reason other than capacity.
+    Failed(RequestOutcome),
 }
 
 impl RentalOutcome {
     fn of_request(self) -> RequestOutcome {
         match self {
             Self::Complete | Self::NoCapacity => RequestOutcome::Completed,
-            Self::NotExecuted => RequestOutcome::NotExecuted,
-            Self::Unknown => RequestOutcome::Unknown,
+            Self::Failed(outcome) => outcome,
         }
     }
 }
@@ -46,17 +43,17 @@
         }
     }
 
-    /// Rents machines in as many requests as needed, until one is not fulfilled. Returns whether the
-    /// pool had too little capacity.
+    /// Rents machines in as many requests as needed, until one is not fulfilled. `count` includes the machines of
+    /// rentals that are outstanding already. Returns whether the pool had too little capacity.
     pub(super) async fn rent(&mut self, pool: MachinePool, count: u32) -> bool {
-        let mut remaining = count;
+        let mut remaining = count.saturating_sub(self.requests.machines_requested(&pool));
         while remaining > 0 && self.still_leads_term() {
             let (id, rental) = self.requests.add_rental(&pool, remaining);
             remaining -= rental.request.count;
             match self.send_rental(id, &rental).await {
                 RentalOutcome::Complete => {}
                 RentalOutcome::NoCapacity => return true,
-                RentalOutcome::NotExecuted | RentalOutcome::Unknown => return false,
+                RentalOutcome::Failed(_) => return false,
             }
         }
         false
@@ -68,7 +65,7 @@
             let response = self.cloud.rent(&rental.request).await;
             self.rental_outcome(rental, response)
         } else {
-            RentalOutcome::NotExecuted
+            RentalOutcome::Failed(RequestOutcome::NotExecuted)
         };
         self.requests.apply_rental_outcome(id, outcome.of_request());
         outcome
@@ -88,13 +85,15 @@
                 self.capacity_backoff.record_exhausted(pool, Instant::now());
                 RentalOutcome::NoCapacity
             }
-            Err(CloudError::OutcomeUnknown) => {
-                warn!(request = %request.request, "rental outcome unknown");
-                RentalOutcome::Unknown
-            }
             Err(error) => {
-                info!(%error, request = %request.request, "rental refused");
-                RentalOutcome::NotExecuted
+                let outcome = RequestOutcome::of_error(&error);
+                match outcome {
+                    RequestOutcome::Unknown => {
+                        warn!(%error, request = %request.request, "rental outcome unknown");
+                    }
+                    _ => info!(%error, request = %request.request, "rental refused"),
+                }
+                RentalOutcome::Failed(outcome)
             }
         }
     }
@@ -153,13 +152,15 @@
                 self.shared.machines_released(machines);
                 RequestOutcome::Completed
             }
-            Err(CloudError::OutcomeUnknown) => {
-                warn!(?machines, %reason, "release outcome unknown");
-                RequestOutcome::Unknown
-            }
             Err(error) => {
-                info!(%error, ?machines, %reason, "release refused");
-                RequestOutcome::NotExecuted
+                let outcome = RequestOutcome::of_error(&error);
+                match outcome {
+                    RequestOutcome::Unknown => {
+                        warn!(%error, ?machines, %reason, "release outcome unknown");
+                    }
+                    _ => info!(%error, ?machines, %reason, "release refused"),
+                }
+                outcome
             }
         };
         let mut guard = self.shared.cluster.lock();
--- a/src/actors/fleet/tests.rs
+++ b/src/actors/fleet/tests.rs
@@ -183,6 +183,12 @@
         Some(machine.placement_refusal(Instant::now(), cluster.timing.suspect_after))
     }
 
+    /// The number of machines in the cluster state.
+    fn machine_count(&self) -> usize {
+        let guard = self.scaling.shared.cluster.lock();
+        guard.as_ref().unwrap().machines.len()
+    }
+
     /// Lets the operators keep idle machines for longer than a test runs.
     fn keep_idle_machines(&self) {
         self.scaling.shared.operator.lock().idle_factor = 100.0;
@@ -271,3 +277,38 @@
     leader.scaling.run_cycle().await;
     assert_eq!(leader.refusal(&machine), Some(None));
 }
+
+/// Guards against machines without any use: each cycle rented for the same demand again, under another idempotency
+/// key, while a rental was without a response, and the cloud executed all of them.
+#[actix_web::test]
+async fn demand_is_rented_for_once_while_the_rental_gets_no_response() {
+    for answer in [Answer::LostBeforeExecution, Answer::LostAfterExecution] {
+        let mut leader = ScalingLeader::with_demand(demand_for_one_machine());
+        for _ in 0..6 {
+            leader.cloud.next(answer);
+        }
+        for _ in 0..8 {
+            leader.scaling.run_cycle().await;
+        }
+        assert_eq!(leader.cloud.machines_rented(), 1, "{answer:?}");
+        assert_eq!(leader.machine_count(), 1, "{answer:?}");
+    }
+}
+
+/// Guards against the same after a repetition that the cloud refused, and after an interruption of the leadership within
+/// the term: the rental that may have been executed was forgotten.
+#[actix_web::test]
+async fn rental_without_response_is_not_forgotten_when_it_is_refused_or_leadership_is_interrupted()
+{
+    let mut leader = ScalingLeader::with_demand(demand_for_one_machine());
+    leader.cloud.next(Answer::LostAfterExecution);
+    leader.scaling.run_cycle().await;
+    leader.cloud.next(Answer::Refused);
+    leader.scaling.run_cycle().await;
+    ScalingLeader::interrupt_leadership(&leader.scaling.shared);
+    leader.scaling.run_cycle().await;
+    leader.resume_leadership();
+    leader.scaling.run_cycle().await;
+    assert_eq!(leader.cloud.machines_rented(), 1);
+    assert_eq!(leader.machine_count(), 1);
+}
--- a/src/actors/fleet/tests/cloud.rs
+++ b/src/actors/fleet/tests/cloud.rs
@@ -18,6 +18,8 @@
     Refused,
     /// It does not execute the request, and its response is cut off.
     LostBeforeExecution,
+    /// It executes the request, and its response is cut off.
+    LostAfterExecution,
 }
 
 #[derive(Default)]
@@ -68,6 +70,12 @@
     pub fn released(&self) -> Vec<String> {
         self.state.lock().released.clone()
     }
+
+    /// The number of machines that the cloud has rented out.
+    pub fn machines_rented(&self) -> u32 {
+        let state = self.state.lock();
+        state.rentals.iter().map(|rental| rental.count).sum()
+    }
 }
 
 impl State {
@@ -83,7 +91,7 @@
     match answer {
         Answer::Executed => HttpResponse::Ok().body(body),
         Answer::Refused => HttpResponse::ServiceUnavailable().finish(),
-        Answer::LostBeforeExecution => {
+        Answer::LostBeforeExecution | Answer::LostAfterExecution => {
             let cut_off = Err::<web::Bytes, _>(std::io::Error::other("cut off"));
             HttpResponse::Ok().streaming(futures_util::stream::iter([cut_off]))
         }
@@ -91,7 +99,7 @@
 }
 
 fn is_executed(answer: Answer) -> bool {
-    answer == Answer::Executed
+    matches!(answer, Answer::Executed | Answer::LostAfterExecution)
 }
 
 async fn list() -> HttpResponse {
--- a/src/fleet/outstanding.rs
+++ b/src/fleet/outstanding.rs
@@ -10,20 +10,28 @@
 //! | refused, and never without a response before | withdrawn |
 //! | without a response | stay, since the cloud may execute the request late; it is repeated until confirmed |
 //! | refused after one without a response | stay: only the repetition was certainly not executed |
+//! | rejected for its content | withdrawn |
 //!
-//! Rentals leave no mark. One without a response is repeated under its idempotency key, so that its machines are
-//! known as soon as the cloud responds.
+//! Rentals leave no mark. One without a response is repeated under its idempotency key until the cloud responds to it
+//! other than by a refusal, so that its machines are known then. Until then they count as rented: demand must not be rented
+//! for again under another key.
 //!
 //! Requests stay outstanding while the leadership is interrupted, and are dropped with the cluster state of their
 //! term.
 
 use std::collections::BTreeMap;
 
+use super::client::CloudError;
 use super::{ReleaseReason, RENTAL_SIZE_MAX};
 use crate::cluster::Cluster;
 use crate::model::{MachineId, MachinePool, Term};
 use crate::wire::RentalRequest;
 
+/// The HTTP status above the rate limit.
+const TOO_MANY_REQUESTS: u16 = 429;
+/// The HTTP status codes by which the cloud rejects the content of a request, but for the one above.
+const CLIENT_ERRORS: std::ops::Range<u16> = 400..500;
+
 /// The number of an outstanding request. Requests are sent in the order of their numbers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId(u64);
@@ -31,14 +39,29 @@
 /// What is known about a request after an attempt to send it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestOutcome {
-    /// The cloud executed it, or knows that it can't.
+    /// The cloud executed it as far as it can.
     Completed,
-    /// The cloud certainly did not execute it: it was refused.
+    /// The cloud rejects its content, so that no attempt of it is ever executed.
+    Rejected,
+    /// This attempt was certainly not executed, as during an outage of the cloud or above its rate limit.
     NotExecuted,
     /// No response arrived. The cloud may have executed it, or may still do so.
     Unknown,
 }
 
+impl RequestOutcome {
+    /// The outcome of an attempt that failed with this error.
+    pub fn of_error(error: &CloudError) -> Self {
+        match error {
+            CloudError::NoCapacity => Self::Completed,
+            CloudError::Refused(TOO_MANY_REQUESTS) => Self::NotExecuted,
+            CloudError::Refused(status) if CLIENT_ERRORS.contains(status) => Self::Rejected,
+            CloudError::Refused(_) => Self::NotExecuted,
+            CloudError::OutcomeUnknown | CloudError::Undecodable(_) => Self::Unknown,
+        }
+    }
+}
+
 /// A release that the cloud has not confirmed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OutstandingRelease {
@@ -149,7 +172,7 @@
         match outcome {
             RequestOutcome::Unknown => release.maybe_executed = true,
             RequestOutcome::NotExecuted if release.maybe_executed => {}
-            RequestOutcome::NotExecuted => {
+            RequestOutcome::NotExecuted | RequestOutcome::Rejected => {
                 if let Some(cluster) = cluster {
                     cluster.set_releasing(&release.machines, false);
                 }
@@ -186,6 +209,12 @@
         self.rentals.iter().map(|(id, rental)| (*id, rental))
     }
 
+    /// The number of machines of the pool that outstanding rentals ask for, which may have been rented already.
+    pub fn machines_requested(&self, pool: &MachinePool) -> u32 {
+        let of_pool = self.rentals.values().filter(|rental| rental.pool == *pool);
+        of_pool.map(|rental| rental.request.count).sum()
+    }
+
     /// Applies the outcome of an attempt to send a rental.
     pub fn apply_rental_outcome(&mut self, id: RequestId, outcome: RequestOutcome) {
         let Some(rental) = self.rentals.get_mut(&id) else {
@@ -193,9 +222,13 @@
         };
         match outcome {
             RequestOutcome::Unknown => rental.maybe_executed = true,
-            RequestOutcome::NotExecuted | RequestOutcome::Completed => {
+            RequestOutcome::NotExecuted if rental.maybe_executed => {}
+            RequestOutcome::NotExecuted | RequestOutcome::Rejected | RequestOutcome::Completed => {
                 self.rentals.remove(&id);
             }
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/common/simulation/cloud_requests.rs
+++ b/tests/common/simulation/cloud_requests.rs
@@ -86,6 +86,11 @@
             self.call_cloud(index, id, CloudCall::Rent(rental));
         }
         for (pool, count) in self.plan_fleet(index, leadership.term) {
+            let requested = self.controllers[index].requests.machines_requested(&pool);
+            let count = count.saturating_sub(requested);
+            if count == 0 {
+                continue;
+            }
             let (id, rental) = self.controllers[index].requests.add_rental(&pool, count);
             self.call_cloud(index, id, CloudCall::Rent(rental));
         }
