Keep the dispatch record of jobs that ended while it was written

What callers saw: nothing; the state service kept a record more for each such write until the next leader.

Cause: a committed record that named no unfinished job any more was dropped from memory, and so neither overwritten nor deleted.

Change: it is kept as an empty record. Only a committed deletion removes a record.

Measured: record_whose_jobs_ended_while_it_was_written_is_overwritten failed before the change (the next record got a new key) and passes; the unit tests, simulations and tests of scheduling pass.

--- a/src/cluster/dispatch_log.rs
+++ b/src/cluster/dispatch_log.rs
@@ -206,13 +206,13 @@
         empty.map(|(key, _)| key)
     }
 
-    /// Applies the outcome of a write. `version` is absent unless the write is known to be
-    /// committed. A write of unknown outcome may still be committed later, so its key is not used
-    /// again.
+    /// Applies the outcome of a write: `version` is that of the record in the store, which names `jobs` of those that
+    /// have not ended. It is absent if the record was deleted, or is not known to be committed. A write of
+    /// unknown outcome may still be committed later, so its key is not used again.
     pub fn apply_write_outcome(&mut self, key: &str, jobs: BTreeSet<JobId>, version: Option<u64>) {
         self.writing.remove(key);
         self.records.remove(key);
-        if let Some(version) = version.filter(|_| !jobs.is_empty()) {
+        if let Some(version) = version {
             self.insert_record(key.to_owned(), version, jobs);
         }
     }
--- a/src/cluster/dispatch_log/tests.rs
+++ b/src/cluster/dispatch_log/tests.rs
@@ -68,3 +68,18 @@
     let next = log.next_record_change(&mut due).unwrap();
     assert_ne!(next.key, write.key, "the first write may be committed late");
 }
+
+/// Guards against records that stay in the store for the rest of the term: the write of a record whose jobs all ended
+/// before it was committed was forgotten.
+#[test]
+fn record_whose_jobs_ended_while_it_was_written_is_overwritten() {
+    let mut log = dispatch_log();
+    let write = log.next_record_change(&mut vec![entry(1)]).unwrap();
+    log.remove_job(&entry(1).job);
+    log.apply_write_outcome(&write.key, BTreeSet::new(), Some(7));
+    let overwrite = log.next_record_change(&mut vec![entry(2)]).unwrap();
+    assert_eq!(
+        (&overwrite.key, overwrite.condition.version),
+        (&write.key, 7)
+    );
+}
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -414,7 +414,10 @@
     ) {
         let jobs = entries.iter().map(|entry| entry.job.clone());
         let known = jobs.filter(|id| self.jobs.contains_key(id)).collect();
-        self.dispatch_log.apply_write_outcome(key, known, version);
+        let is_deletion = entries.is_empty();
+        let record_version = version.filter(|_| !is_deletion);
+        self.dispatch_log
+            .apply_write_outcome(key, known, record_version);
         for entry in entries {
             let Some(job) = self.jobs.get_mut(&entry.job) else {
                 continue;
