Plan starts elsewhere when the release of their machine is decided

What callers saw: a job may wait beside free machines while the cloud does not confirm the release of the machine that it was planned on.

Cause: the mark of the release keeps a planned start from being sent, and nothing ended the plan of a machine that still sends heartbeats.

Change: set_releasing drops the planned starts of the machine, none of which was sent.

Measured: start_planned_on_a_machine_that_is_to_be_released_is_planned_elsewhere failed before the change (no start in the next cycle) and passes; unit tests, simulations and the tests of heartbeats and changes of leader pass.

--- a/src/cluster/instances.rs
+++ b/src/cluster/instances.rs
@@ -139,6 +139,19 @@
         self.terminate_tasks(id, grace_s);
     }
 
+    /// Drops all starts that are planned on a machine and were not dispatched.
+    pub(super) fn drop_planned_starts(&mut self, id: &MachineId) {
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        let instances = machine.instances.iter();
+        let planned = instances.filter(|(_, state)| !state.is_dispatched());
+        let planned: Vec<InstanceId> = planned.map(|(instance, _)| instance.clone()).collect();
+        for instance in planned {
+            self.remove_instance(id, &instance, TerminationEvidence::NeverDispatched);
+        }
+    }
+
     /// Removes an instance from its machine, and its placement from the job.
     pub(super) fn remove_instance(
         &mut self,
--- a/src/cluster/reconcile/machine_status.rs
+++ b/src/cluster/reconcile/machine_status.rs
@@ -5,7 +5,7 @@
 use tracing::{info, warn};
 
 use super::MessageOrder;
-use crate::cluster::{Cluster, InstanceId, Machine, TerminationEvidence};
+use crate::cluster::{Cluster, Machine};
 use crate::model::{FencingToken, MachineId};
 use crate::time::secs;
 use crate::wire::Heartbeat;
@@ -116,14 +116,7 @@
         let was_busy = machine.is_busy();
         if was_never_fenced && !heartbeat.tasks.is_empty() {
             // A late copy made the machine look new, so its free capacity was overestimated.
-            let plans = machine
-                .instances
-                .iter()
-                .filter(|(_, state)| !state.is_dispatched());
-            let plans: Vec<InstanceId> = plans.map(|(instance, _)| instance.clone()).collect();
-            for instance in plans {
-                self.remove_instance(id, &instance, TerminationEvidence::NeverDispatched);
-            }
+            self.drop_planned_starts(id);
         }
         Some(was_busy)
     }
--- a/src/cluster/sync.rs
+++ b/src/cluster/sync.rs
@@ -167,12 +167,16 @@
         self.scheduling_needed = true;
     }
 
-    /// Marks machines whose release is outstanding, which get no new tasks, or clears this mark.
+    /// Marks machines whose release is outstanding, which get no new tasks, or clears this mark. Starts planned on
+    /// them are dropped, since they would wait there for as long as the release is not confirmed.
     pub fn set_releasing(&mut self, machines: &[MachineId], releasing: bool) {
         for id in machines {
             if let Some(machine) = self.machines.get_mut(id) {
                 machine.releasing = releasing;
             }
+            if releasing {
+                self.drop_planned_starts(id);
+            }
         }
         self.scheduling_needed |= !releasing;
     }
--- a/tests/unresponsive_machines.rs
+++ b/tests/unresponsive_machines.rs
@@ -157,3 +157,23 @@
         leader.log
     );
 }
+
+/// Guards against jobs that wait beside free machines: a start was planned on a machine whose release was decided before the
+/// start was sent, and waited there for as long as the cloud did not confirm the release.
+#[test]
+fn start_planned_on_a_machine_that_is_to_be_released_is_planned_elsewhere() {
+    for tasks in [1, 2] {
+        let mut leader = TestLeader::new();
+        leader.add_machines(&["m-c1n", "m-c2n", "m-c3n"]);
+        leader.submit(gang_job("wk-000001", tasks));
+        let planned = leader.run_cycle().starts.remove(0).members;
+        let released = planned[0].1.clone();
+        leader
+            .cluster
+            .set_releasing(std::slice::from_ref(&released), true);
+        let replanned = leader.run_cycle().starts.remove(0).members;
+        assert_eq!(replanned.len(), 1, "only this member is planned anew");
+        assert_eq!(replanned[0].0, planned[0].0);
+        assert_ne!(replanned[0].1, released);
+    }
+}
