Simulate late copies of starts and machines that restart at once

What it guards against: a start command that was executed and answered arrives once more, after its task was cleared, moved or cancelled, while a controller or a machine is back within a second, a machine in epoch 1 again.

Change: the simulation copies responses with starts, direct commands, answers to batches, and heartbeats, whose second response the machine takes for the one that it waits for; it restarts machines under their names; it records a start that is executed twice (started_again), and a start in a direct command (direct_start). Responses belong to an exchange, which a restart ends.

--- a/tests/common/simulation.rs
+++ b/tests/common/simulation.rs
@@ -14,6 +14,8 @@
 mod cloud_requests;
 #[path = "simulation/controllers.rs"]
 mod controllers;
+#[path = "simulation/copies.rs"]
+mod copies;
 #[path = "simulation/delivery.rs"]
 mod delivery;
 #[path = "simulation/faults.rs"]
@@ -73,6 +75,8 @@
 pub use cloud_requests::CloudFault;
 use cloud_requests::{CloudCall, CloudExchange, CloudResponse, CloudState};
 use controllers::Controller;
+use copies::Copies;
+pub use copies::CopyShares;
 use delivery::Message;
 pub use faults::{timed_fault, Fault, TimedFault};
 pub use forwarding::BatchFaults;
@@ -122,6 +126,7 @@
     handler_delay: (f64, f64),
     batch_faults: (BatchFaults, f64),
     pub cloud: CloudState,
+    pub copies: Copies,
     /// Follower whose batches are lost, and the end of the fault.
     isolated_follower: Option<(usize, f64)>,
     /// Whether link monitoring is enabled on every controller.
@@ -194,6 +199,7 @@
             handler_delay: (0.0, 0.0),
             batch_faults: (BatchFaults::default(), 0.0),
             cloud: CloudState::default(),
+            copies: Copies::default(),
             isolated_follower: None,
             links_enabled,
             link_faults: Vec::new(),
--- a/tests/common/simulation/cloud.rs
+++ b/tests/common/simulation/cloud.rs
@@ -61,6 +61,7 @@
             lease_started_at: self.now_s,
             controller: self.rng.random_range(0..3),
             next_heartbeat_at: self.now_s + self.rng.random_range(0.0..1.0),
+            exchanges: 0,
             awaited_response: None,
             state_changed: false,
             last_heartbeat_at: self.now_s,
--- a/tests/common/simulation/controllers.rs
+++ b/tests/common/simulation/controllers.rs
@@ -427,6 +427,11 @@
     fn send_direct_commands(&mut self, index: usize, commands: Vec<AddressedCommand>) {
         let now = self.instant();
         for AddressedCommand { machine, body, .. } in commands {
+            for command in &body.commands {
+                if matches!(command, WorkerCommand::Run { .. }) {
+                    self.record_violation("direct_start", format!("{command:?} to {machine}"));
+                }
+            }
             let incarnation = self.controllers[index].incarnation;
             let machine = machine.0.to_string();
             let message = Message::DirectCommand(
@@ -439,6 +444,7 @@
                 now,
             );
             if !self.is_cut_from_workers(index) {
+                self.copy_direct_command(&message);
                 self.send(message);
             }
         }
--- a/tests/common/simulation/delivery.rs
+++ b/tests/common/simulation/delivery.rs
@@ -14,9 +14,9 @@
     FromStore(usize, u64, StoreResponse, RequestPurpose, f64),
     /// A transaction that is applied later, and whose sender gets no response.
     LateWrite(Transaction),
-    /// Receiving controller, the heartbeat, and its number unless it is a copy.
+    /// Receiving controller, the heartbeat, and the number of the exchange unless it is a copy.
     Heartbeat(usize, Box<Heartbeat>, Option<u64>),
-    /// Worker, its session epoch, the number of the heartbeat, the status, the controller to which it
+    /// Worker, its session epoch, the number of the exchange, the status, the controller to which it
     /// redirects, and the fencing token with the commands.
     HeartbeatResponse(
         String,
@@ -32,6 +32,8 @@
     /// Controller and its incarnation, the worker's heartbeat, the fencing token of the command and the
     /// time the command was sent.
     DirectCommandResponse(usize, u64, Box<Heartbeat>, u64, Instant),
+    /// A late copy of a message.
+    Copy(Box<Message>),
     Cancellation(usize, Vec<JobId>),
     /// Controller that handles a user's cancellation and its incarnation, the job, the verdict that the
     /// handler has read, and the time at which the read was sent.
@@ -99,11 +101,7 @@
             }
             Message::Row(..) | Message::RowOutcome(..) => self.deliver_row(message),
             Message::HeartbeatResponse(name, epoch, number, status, redirect, body) => {
-                let hung = |worker: &Worker| worker.hung_until > now_s;
-                if self.workers.get(&name).is_some_and(hung) {
-                    return;
-                }
-                self.receive_heartbeat_response(&name, (epoch, number, status), redirect, body);
+                self.deliver_response(&name, (epoch, number, status), redirect, body);
             }
             Message::DirectCommand(index, incarnation, name, token, epoch, commands, sent_at) => {
                 let command = (token, epoch, commands);
@@ -120,6 +118,7 @@
                 self.execute_cloud_call(&call);
             }
             Message::MachineBoot(name, pool) => self.boot_machine(name, pool),
+            Message::Copy(message) => self.deliver_copy(*message),
         }
     }
 
@@ -161,6 +160,21 @@
         }
     }
 
+    /// Delivers a response to a worker. One that hangs does not receive it.
+    fn deliver_response(
+        &mut self,
+        name: &str,
+        exchange: (u64, u64, u16),
+        redirect: Option<String>,
+        body: Option<(u64, Vec<WorkerCommand>)>,
+    ) {
+        let now_s = self.now_s;
+        let hung = |worker: &Worker| worker.hung_until > now_s;
+        if !self.workers.get(name).is_some_and(hung) {
+            self.receive_heartbeat_response(name, exchange, redirect, body);
+        }
+    }
+
     /// Delivers a worker's heartbeat to a controller. A copy has no number.
     fn deliver_heartbeat(&mut self, index: usize, heartbeat: Box<Heartbeat>, number: Option<u64>) {
         if self.is_cut_from_workers(index) {
--- a/tests/common/simulation/faults.rs
+++ b/tests/common/simulation/faults.rs
@@ -53,6 +53,10 @@
     Cloud(CloudFault),
     /// The operators have idle machines released at once.
     ReleaseIdleMachines,
+    /// Copies of messages with commands arrive late.
+    Copies(CopyShares),
+    /// This share of the machines restart at once under their names.
+    RestartWorkers(f64),
     /// A link has this mode.
     Link(LinkId, LinkMode),
     /// The controller with this index terminates, and restarts after 0.2 s.
@@ -118,6 +122,8 @@
                 }
             }
             Fault::Batches(shares) => self.batch_faults = (shares, until),
+            Fault::Copies(shares) => self.copies.begin(shares, until),
+            Fault::RestartWorkers(share) => self.restart_workers(share),
             Fault::Cloud(fault) => self.cloud.fault = Some((fault, until)),
             Fault::ReleaseIdleMachines => self.cloud.idle_released_until = until,
             Fault::FollowerCutFromLeader => {
@@ -131,14 +137,17 @@
             Fault::LeaderCutOff => self.cut_off = self.leader().map(|leader| (leader, until)),
             Fault::CancelJobs(count) => self.cancel_random_jobs(count),
             Fault::DelayCancellations(delay_max_s) => self.handler_delay = (delay_max_s, until),
-            Fault::CancelAtCompletion(share) => {
-                self.cancel_at_completion = (share, until);
-                let ids: Vec<String> = self.jobs.keys().cloned().collect();
-                for id in ids {
-                    let selected = self.rng.random_bool(share);
-                    self.jobs.get_mut(&id).unwrap().cancel_at_completion |= selected;
-                }
-            }
+            Fault::CancelAtCompletion(share) => self.cancel_jobs_at_completion(share, until),
+        }
+    }
+
+    /// Lets users cancel this share of the jobs, present and new ones, when the last task completes.
+    fn cancel_jobs_at_completion(&mut self, share: f64, until: f64) {
+        self.cancel_at_completion = (share, until);
+        let ids: Vec<String> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            let selected = self.rng.random_bool(share);
+            self.jobs.get_mut(&id).unwrap().cancel_at_completion |= selected;
         }
     }
 
--- a/tests/common/simulation/forwarding.rs
+++ b/tests/common/simulation/forwarding.rs
@@ -188,6 +188,7 @@
         }
         let (faults, until) = self.batch_faults;
         let message = Message::BatchResponse(from, incarnation, id, answer);
+        self.copy_batch_answer(&message);
         if self.now_s < until && self.rng.random_bool(faults.responses_delayed) {
             let after = self.rng.random_range(1.0..8.0);
             self.deliver_after(after, message);
--- a/tests/common/simulation/workers.rs
+++ b/tests/common/simulation/workers.rs
@@ -27,7 +27,9 @@
     /// Controller to which the worker sends its heartbeats.
     pub(super) controller: usize,
     pub(super) next_heartbeat_at: f64,
-    /// Number, session epoch and send time of the heartbeat that has no response yet.
+    /// Number of heartbeats sent by all incarnations, each in an exchange of its own.
+    pub(super) exchanges: u64,
+    /// Number of the exchange, session epoch and send time of the heartbeat that has no response yet.
     pub(super) awaited_response: Option<(u64, u64, f64)>,
     /// Whether the next heartbeat is sent early.
     pub(super) state_changed: bool,
@@ -119,7 +121,9 @@
         }
         worker.state_changed = false;
         worker.last_heartbeat_at = now_s;
-        worker.awaited_response = Some((worker.sequence + 1, worker.epoch, now_s));
+        worker.exchanges += 1;
+        let number = worker.exchanges;
+        worker.awaited_response = Some((number, worker.epoch, now_s));
         let (controller, heartbeats_lost) =
             (worker.controller, worker.heartbeats_lost_until > now_s);
         let interval_s = worker_settings.report_s * self.rng.random_range(0.75..1.25);
@@ -138,7 +142,7 @@
                     );
                 }
             }
-            let number = heartbeat.sequence;
+            self.copy_heartbeat(&heartbeat);
             self.send(Message::Heartbeat(controller, heartbeat, Some(number)));
         }
     }
@@ -339,6 +343,7 @@
                             missing_since: None,
                         },
                     );
+                    self.record_executed_start(name, task, *attempt);
                 }
                 WorkerCommand::Kill {
                     task,
@@ -444,7 +449,7 @@
         let loses_responses = |worker: &Worker| worker.responses_lost_until > now_s;
         if !self.workers.get(name).is_some_and(loses_responses) {
             let name = name.to_owned();
-            self.send(Message::HeartbeatResponse(
+            self.send_with_copy(Message::HeartbeatResponse(
                 name, epoch, number, status, redirect, body,
             ));
         }
--- a/tests/interleavings.rs
+++ b/tests/interleavings.rs
@@ -14,7 +14,7 @@
 mod test_leader;
 
 use scenario::{seed_range, settings, Scenario, SETTLE_TIME_S};
-use simulation::{timed_fault, BatchFaults, CloudFault, Fault, Simulation, TimedFault};
+use simulation::{timed_fault, BatchFaults, CloudFault, CopyShares, Fault, Simulation, TimedFault};
 use test_leader::array_job;
 
 /// Runs the faults once per seed, with link monitoring disabled.
@@ -310,6 +310,45 @@
     }
 }
 
+/// A copy of a start that was executed and answered before arrives once more, by each way on which commands travel: in
+/// the response to a heartbeat, by way of a follower, or as a direct command. Meanwhile machines restart at once under their names
+/// in epoch 1, controllers restart at once, jobs are cancelled, and tasks move from machines that hang. No start may be
+/// executed twice.
+#[test]
+fn start_is_executed_once_when_copies_arrive_late_and_machines_and_controllers_restart_at_once() {
+    let shares = CopyShares {
+        responses: 0.8,
+        commands: 0.6,
+        batch_answers: 0.4,
+        heartbeats: 0.3,
+    };
+    let runs = run_seeds(seed_range(), |offset_s| {
+        let restart = |at: f64| timed_fault(at + offset_s, 0.0, Fault::RestartWorkers(0.4));
+        vec![
+            timed_fault(5.0, 110.0, Fault::Copies(shares)),
+            timed_fault(5.0, 110.0, heartbeat_copies(0.4, false)),
+            timed_fault(10.0, 80.0, Fault::Batches(batch_faults(0.15))),
+            restart(18.0),
+            timed_fault(18.5 + offset_s, 0.0, Fault::CancelJobs(2)),
+            timed_fault(25.0 + offset_s, 0.0, Fault::CrashLeader(0.2)),
+            restart(25.3),
+            timed_fault(35.0 + offset_s, 25.0, Fault::HangWorkers(0.3)),
+            timed_fault(36.0 + offset_s, 0.0, Fault::CancelJobs(2)),
+            timed_fault(64.0 + offset_s, 0.0, Fault::CrashAll(0.3)),
+            restart(64.2),
+            timed_fault(66.0 + offset_s, 0.0, Fault::CancelJobs(2)),
+            restart(75.0),
+            restart(75.8),
+        ]
+    });
+    let total = |count: fn(&Simulation) -> usize| runs.iter().map(count).sum::<usize>();
+    assert!(total(|run| run.copies.starts) > 0);
+    assert!(total(|run| run.copies.commands) > 0);
+    assert!(total(|run| run.copies.batch_answers) > 0);
+    assert!(total(|run| run.copies.heartbeats) > 0);
+    assert!(runs.iter().all(|run| run.copies.restarts > 0));
+}
+
 /// The jobs are submitted for a minute. Once a second a user cancels the job submitted 0.75 s or 1.75 s
 /// before, so that each cancelled job is cancelled twice.
 #[test]
