Share the decisions of a scaling cycle with the simulation

Cause: the simulation had its own copy of what surrounds fleet::plan, which is how a fault of the scaling loop went unseen.

Change: fleet::run_cycle decides, waits for heartbeats after a failover, subtracts outstanding rentals and adds releases to the outstanding requests; the actor and the simulation call it.

--- a/src/actors/fleet.rs
+++ b/src/actors/fleet.rs
@@ -10,12 +10,11 @@
 use tracing::{debug, info};
 
 use super::scheduler::SharedDemand;
-use crate::cluster::{Catalog, Machine};
+use crate::cluster::Catalog;
 use crate::fleet::client::CloudClient;
 use crate::fleet::listing::MachineListing;
 use crate::fleet::outstanding::{OutstandingRelease, OutstandingRequests};
-use crate::fleet::{self, CapacityBackoff, FleetView, ScalingAction};
-use crate::model::MachinePool;
+use crate::fleet::{self, CapacityBackoff, CycleInput, RentalDecision};
 use crate::rate_limit::TokenBucket;
 use crate::service::Shared;
 use crate::time::secs;
@@ -26,10 +25,6 @@
 const CATALOG_INTERVAL: Duration = Duration::from_secs(60);
 /// Fraction of the cloud's request rate limit that the leader uses.
 const CLOUD_RATE_FRACTION: f64 = 0.7;
-/// After a failover, nothing is rented or released until all machines that are up have sent a
-/// heartbeat, for at most this long.
-const RECONCILIATION_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Time until the next scaling cycle after a rental for which there was too little capacity.
 const CAPACITY_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -133,10 +128,10 @@
         }
         self.read_machine_list().await;
         self.repeat_requests().await;
-        let rentals = self.plan_actions();
+        let rentals = self.decide();
         let mut retry_soon = false;
-        for (pool, count) in rentals {
-            retry_soon |= self.rent(pool, count).await;
+        for rental in rentals {
+            retry_soon |= self.rent(rental).await;
         }
         self.send_new_releases().await;
         retry_soon
@@ -208,45 +203,23 @@
         }
     }
 
-    /// Decides on rentals and releases. Returns the rentals; the releases are outstanding from now on.
-    fn plan_actions(&mut self) -> Vec<(MachinePool, u32)> {
-        let now = Instant::now();
+    /// Decides on rentals, which are returned, and on releases, which are outstanding from now on.
+    fn decide(&mut self) -> Vec<RentalDecision> {
         let term = self.requests.term();
         let unmet_demand = self.unmet_demand.lock().in_term(term).to_vec();
         let idle_policy = self.shared.operator.lock().idle_policy();
-        let mut guard = self.shared.cluster.lock();
-        let Some(cluster) = guard.as_mut().filter(|cluster| cluster.term == term) else {
-            return Vec::new();
-        };
-        let heartbeats_missing = cluster
-            .machines
-            .values()
-            .any(Machine::awaits_first_heartbeat);
-        if heartbeats_missing
-            && now.saturating_duration_since(cluster.observing_since) < RECONCILIATION_TIMEOUT
-        {
-            return Vec::new();
-        }
-        fleet::detect_partitions(cluster, now);
-        let policy = &self.shared.policy;
-        let actions = fleet::plan(&FleetView {
-            cluster,
-            policy,
+        let input = CycleInput {
+            policy: &self.shared.policy,
             unmet_demand: &unmet_demand,
             capacity_backoff: &self.capacity_backoff,
             idle_policy,
-            now,
-        });
-        let mut rentals = Vec::new();
-        for action in actions {
-            match action {
-                ScalingAction::Rent(pool, count) => rentals.push((pool, count)),
-                ScalingAction::Release(machines, reason) => {
-                    self.requests.add_release(cluster, machines, reason);
-                }
-            }
-        }
-        rentals
+            now: Instant::now(),
+        };
+        let requests = &mut self.requests;
+        let rentals = self
+            .shared
+            .with_cluster_of(term, |cluster| fleet::run_cycle(cluster, requests, input));
+        rentals.unwrap_or_default()
     }
 
     /// Whether this process still leads in the term for which the request was decided. This is checked
--- a/src/actors/fleet/requests.rs
+++ b/src/actors/fleet/requests.rs
@@ -7,7 +7,7 @@
 use super::ScalingLoop;
 use crate::fleet::client::CloudError;
 use crate::fleet::outstanding::{OutstandingRental, RequestId, RequestOutcome};
-use crate::model::MachinePool;
+use crate::fleet::RentalDecision;
 
 /// The outcome of a rental request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,10 +43,11 @@
         }
     }
 
-    /// Rents machines in as many requests as needed, until one is not fulfilled. `count` includes the machines of
-    /// rentals that are outstanding already. Returns whether the pool had too little capacity.
-    pub(super) async fn rent(&mut self, pool: MachinePool, count: u32) -> bool {
-        let mut remaining = count.saturating_sub(self.requests.machines_requested(&pool));
+    /// Rents machines in as many requests as needed, until one is not fulfilled. Returns whether the
+    /// pool had too little capacity.
+    pub(super) async fn rent(&mut self, decision: RentalDecision) -> bool {
+        let RentalDecision { pool, count } = decision;
+        let mut remaining = count;
         while remaining > 0 && self.still_leads_term() {
             let (id, rental) = self.requests.add_rental(&pool, remaining);
             remaining -= rental.request.count;
--- a/src/actors/fleet/tests.rs
+++ b/src/actors/fleet/tests.rs
@@ -116,8 +116,8 @@
 }
 
 fn machines_rented_for(demand: SharedDemand) -> u32 {
-    let rentals = loop_of_term_2(demand).plan_actions();
-    rentals.iter().map(|(_, count)| count).sum()
+    let rentals = loop_of_term_2(demand).decide();
+    rentals.iter().map(|rental| rental.count).sum()
 }
 
 /// Guards against machines that are rented for jobs which ended long ago: a process that was elected again still
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod capacity_backoff;
 pub mod client;
+mod cycle;
 mod demand;
 pub mod listing;
 pub mod outstanding;
@@ -17,6 +18,7 @@
 use std::time::Instant;
 
 pub use capacity_backoff::CapacityBackoff;
+pub use cycle::{run_cycle, CycleInput, RentalDecision};
 pub use partition::detect_partitions;
 pub use release_reason::ReleaseReason;
 
--- a/tests/common/simulation.rs
+++ b/tests/common/simulation.rs
@@ -43,12 +43,12 @@
 use futures_util::FutureExt;
 use knotlanding::api::workers::{receive_heartbeat, HeartbeatOutcome};
 use knotlanding::cluster::{
-    AddressedCommand, Cluster, HeartbeatOrdering, HeartbeatSource, Machine, RecordKind,
+    AddressedCommand, Cluster, HeartbeatOrdering, HeartbeatSource, RecordKind,
 };
 use knotlanding::config::{Peer, Settings, WorkerSettings};
 use knotlanding::demand::UnmetDemand;
 use knotlanding::fleet::outstanding::OutstandingRequests;
-use knotlanding::fleet::{self, CapacityBackoff, FleetView, IdlePolicy, ScalingAction};
+use knotlanding::fleet::{self, CapacityBackoff, IdlePolicy};
 use knotlanding::leader::Leadership;
 use knotlanding::model::{
     FencingToken, JobId, JobKind, JobSpec, MachineId, MachinePool, Resources, Term, Verdict,
--- a/tests/common/simulation/cloud_requests.rs
+++ b/tests/common/simulation/cloud_requests.rs
@@ -4,6 +4,7 @@
 //! scaling cycle at a time, and a cycle ends only when each of its requests has an outcome.
 
 use knotlanding::fleet::outstanding::{OutstandingRental, RequestId, RequestOutcome};
+use knotlanding::fleet::{CycleInput, RentalDecision};
 
 use super::*;
 
@@ -85,12 +86,7 @@
         for (id, rental) in repeated {
             self.call_cloud(index, id, CloudCall::Rent(rental));
         }
-        for (pool, count) in self.plan_fleet(index, leadership.term) {
-            let requested = self.controllers[index].requests.machines_requested(&pool);
-            let count = count.saturating_sub(requested);
-            if count == 0 {
-                continue;
-            }
+        for RentalDecision { pool, count } in self.decide_fleet(index, leadership.term) {
             let (id, rental) = self.controllers[index].requests.add_rental(&pool, count);
             self.call_cloud(index, id, CloudCall::Rent(rental));
         }
@@ -104,48 +100,28 @@
     }
 
     /// Decides on rentals, which are returned, and on releases, which are outstanding from then on.
-    fn plan_fleet(&mut self, index: usize, term: Term) -> Vec<(MachinePool, u32)> {
+    fn decide_fleet(&mut self, index: usize, term: Term) -> Vec<RentalDecision> {
         let now = self.instant();
         let machine_list = self.machine_list();
-        let shared = self.controllers[index].shared.clone();
-        let mut guard = shared.cluster.lock();
-        let Some(cluster) = guard.as_mut().filter(|cluster| cluster.term == term) else {
-            return Vec::new();
-        };
-        cluster.apply_machine_list(&machine_list, now);
-        let awaits_heartbeats = cluster
-            .machines
-            .values()
-            .any(Machine::awaits_first_heartbeat);
-        if awaits_heartbeats
-            && now.saturating_duration_since(cluster.observing_since) < Duration::from_secs(5)
-        {
-            return Vec::new();
-        }
-        fleet::detect_partitions(cluster, now);
         let mut idle_policy = IdlePolicy::default();
         if self.now_s < self.cloud.idle_released_until {
             idle_policy.idle_factor = 0.0;
         }
-        let actions = fleet::plan(&FleetView {
-            cluster,
-            policy: &self.policy,
-            unmet_demand: &self.controllers[index].unmet_demand,
-            capacity_backoff: &self.controllers[index].capacity_backoff,
+        let policy = &self.policy;
+        let controller = &mut self.controllers[index];
+        let requests = &mut controller.requests;
+        let input = CycleInput {
+            policy,
+            unmet_demand: &controller.unmet_demand,
+            capacity_backoff: &controller.capacity_backoff,
             idle_policy,
             now,
+        };
+        let rentals = controller.shared.with_cluster_of(term, |cluster| {
+            cluster.apply_machine_list(&machine_list, now);
+            fleet::run_cycle(cluster, requests, input)
         });
-        let mut rentals = Vec::new();
-        for action in actions {
-            match action {
-                ScalingAction::Rent(pool, count) => rentals.push((pool, count)),
-                ScalingAction::Release(machines, reason) => {
-                    let requests = &mut self.controllers[index].requests;
-                    requests.add_release(cluster, machines, reason);
-                }
-            }
-        }
-        rentals
+        rentals.unwrap_or_default()
     }
 
     fn call_cloud(&mut self, index: usize, id: RequestId, call: CloudCall) {
