Move the machine inventory, task instances and placement refusals into files of their own

Change: cluster/inventory.rs, cluster/task_instance.rs, and Machine::placement_refusal beside the reasons that it gives. The outcome of an inventory write is applied by MachineInventory::end_write instead of through its fields. Behaviour is unchanged.

--- a/src/cluster/machine.rs
+++ b/src/cluster/machine.rs
@@ -1,97 +1,15 @@
 //! One machine as its heartbeats, the cloud's list and this leader's commands show it.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use knotlanding_links::health::WorkerEvidence;
 use knotlanding_links::reachability::Reachability;
 
 use super::faults::FaultAttribution;
-use super::placement_refusal::PlacementRefusal;
 use super::termination::TerminationEvidence;
-use super::{ImageId, MessageOrder, PoolId};
-use crate::model::{Attempt, FencingToken, JobId, JobSpec, MachineId, Resources, TaskId};
-use crate::wire::{ExitCause, BODY_BYTES_MAX};
-
-/// Bytes of a task in a heartbeat, in the encoding by which the body limit is measured.
-const TASK_STATUS_BYTES: usize = 80;
-/// Number of tasks on a machine, including exited ones whose results are not recorded yet, at which
-/// the machine gets no more. It is half of what a heartbeat can hold. While records can't be
-/// written, results of short tasks would otherwise accumulate until the agent could send no
-/// heartbeat.
-const TASKS_PER_MACHINE_MAX: usize = BODY_BYTES_MAX / TASK_STATUS_BYTES / 2;
-
-/// One start of a task.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct InstanceId {
-    /// The task, which may have further instances while an earlier one is being terminated.
-    pub task: TaskId,
-    /// The attempt of the task or of its gang.
-    pub attempt: Attempt,
-}
-
-/// The phase of a task instance. This leader sets the first two; heartbeats contain the others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum InstancePhase {
-    /// The start is decided and not sent, so it can have had no effect.
-    Planned,
-    /// The start was sent in the response to a heartbeat. The next heartbeat that the agent sends
-    /// on its own shows whether it arrived.
-    Dispatched {
-        /// The heartbeat whose response carried the start.
-        in_reply_to: MessageOrder,
-    },
-    /// The machine pulls the image.
-    PullingImage,
-    /// The task waits until all members of its gang are ready.
-    AwaitingGang,
-    /// The task runs.
-    Running,
-    /// The task writes a checkpoint.
-    Checkpointing,
-    /// The task has ended and occupies nothing, but the machine's heartbeats still contain it.
-    Exited(ExitCause),
-}
-
-/// A requested termination.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Termination {
-    /// Time for a checkpoint, in seconds; 0: none.
-    pub(super) grace_s: f64,
-    /// When it was last sent to the machine.
-    pub(super) last_sent_at: Option<Instant>,
-}
-
-/// A task instance on one machine.
-#[derive(Clone, Debug)]
-pub struct TaskInstance {
-    /// The job's description, if the job was known when the instance was first seen.
-    pub spec: Option<Arc<JobSpec>>,
-    /// The phase in the last heartbeat that contains the instance; until there is one, the phase
-    /// that this leader set.
-    pub phase: InstancePhase,
-    /// When it was planned or first seen.
-    pub known_since: Instant,
-    /// When a heartbeat first showed it running.
-    pub running_since: Option<Instant>,
-    /// The requested termination, if any.
-    pub termination: Option<Termination>,
-    /// The image, present together with `spec`.
-    pub image: Option<ImageId>,
-}
-
-impl TaskInstance {
-    /// Whether the task may be on the machine.
-    pub fn occupies(&self) -> bool {
-        !matches!(self.phase, InstancePhase::Exited(_))
-    }
-
-    /// Whether its start was sent, by this leader or an earlier one.
-    pub fn is_dispatched(&self) -> bool {
-        self.phase != InstancePhase::Planned
-    }
-}
+use super::{ImageId, InstanceId, MessageOrder, PoolId, TaskInstance};
+use crate::model::{FencingToken, JobId, MachineId, Resources};
 
 /// Sums over a machine's instances, without exited ones.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -359,52 +277,6 @@
         }
     }
 
-    /// Why it gets no new tasks, or `None` if it may get some.
-    pub fn placement_refusal(
-        &self,
-        now: Instant,
-        suspect_after: Duration,
-    ) -> Option<PlacementRefusal> {
-        let fenced = self.fenced || self.never_fenced;
-        let in_backoff = self.backoff_until.is_some_and(|until| now < until);
-        let full = self.instances.len() >= TASKS_PER_MACHINE_MAX;
-        // The first condition that holds is shown to operators.
-        let refusals = [
-            (
-                self.last_heartbeat_at.is_none(),
-                PlacementRefusal::NoHeartbeat,
-            ),
-            (!fenced, PlacementRefusal::NotFenced),
-            (
-                !self.reachability.is_confirmed(),
-                PlacementRefusal::Unreachable,
-            ),
-            (self.releasing, PlacementRefusal::Releasing),
-            (
-                self.drain == Some(DrainReason::Faulty),
-                PlacementRefusal::Faulty,
-            ),
-            (
-                self.drain == Some(DrainReason::Slow),
-                PlacementRefusal::Slow,
-            ),
-            (
-                self.drain == Some(DrainReason::Operator),
-                PlacementRefusal::Drained,
-            ),
-            (self.spot_deadline.is_some(), PlacementRefusal::SpotNotice),
-            (
-                self.heartbeat_overdue(now, suspect_after),
-                PlacementRefusal::Suspected,
-            ),
-            (in_backoff, PlacementRefusal::Backoff),
-            (self.has_unknown_task(), PlacementRefusal::UnknownTask),
-            (full, PlacementRefusal::TooManyTasks),
-        ];
-        let first = refusals.into_iter().find(|(holds, _)| *holds);
-        first.map(|(_, refusal)| refusal)
-    }
-
     /// Whether it may get new tasks.
     pub fn takes_tasks(&self, now: Instant, suspect_after: Duration) -> bool {
         self.placement_refusal(now, suspect_after).is_none()
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -14,6 +14,7 @@
 mod faults;
 mod instances;
 mod intern;
+mod inventory;
 pub mod job;
 pub mod machine;
 mod placement_refusal;
@@ -23,6 +24,7 @@
 mod recovery;
 mod slow_machines;
 mod sync;
+mod task_instance;
 mod termination;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -34,16 +36,15 @@
 pub use faults::{FaultAttribution, SuspectedJob};
 pub use intern::{ImageId, Images, MachinePools, PoolId};
 pub use job::{CapacityReservation, DispatchTargets, Job, Placement};
-pub use machine::{
-    CloudStatus, DrainReason, InstanceId, InstancePhase, Machine, Persistence, TaskInstance,
-    Termination,
-};
+pub use machine::{CloudStatus, DrainReason, Machine, Persistence};
 pub use placement_refusal::PlacementRefusal;
 pub use reconcile::{HeartbeatOrdering, HeartbeatSource, MessageOrder};
 pub use records::{RecordKind, RecordWrite};
+pub use task_instance::{InstanceId, InstancePhase, TaskInstance, Termination};
 pub use termination::TerminationEvidence;
 
 use self::dispatch_log::DispatchLog;
+use self::inventory::MachineInventory;
 use crate::model::{JobId, MachineId, MachineType, Term};
 use crate::pending_reason::PendingReason;
 use crate::state_summary::MachineSummary;
@@ -111,7 +112,7 @@
     /// Versions of the chunks and shards that this leader wrote, which the replica may not show
     /// yet.
     written_versions: HashMap<String, u64>,
-    inventory: records::MachineInventory,
+    inventory: MachineInventory,
     dispatch_log: DispatchLog,
     /// When a dispatch record was last written.
     dispatch_recorded_at: Option<Instant>,
--- a/src/cluster/placement_refusal.rs
+++ b/src/cluster/placement_refusal.rs
@@ -1,6 +1,18 @@
 //! Reasons to place no new tasks on a machine, with their texts for operators.
 
 use std::fmt;
+use std::time::{Duration, Instant};
+
+use super::{DrainReason, Machine};
+use crate::wire::BODY_BYTES_MAX;
+
+/// Bytes of a task in a heartbeat, in the encoding by which the body limit is measured.
+const TASK_STATUS_BYTES: usize = 80;
+/// Number of tasks on a machine, including exited ones whose results are not recorded yet, at which
+/// the machine gets no more. It is half of what a heartbeat can hold. While records can't be
+/// written, results of short tasks would otherwise accumulate until the agent could send no
+/// heartbeat.
+const TASKS_PER_MACHINE_MAX: usize = BODY_BYTES_MAX / TASK_STATUS_BYTES / 2;
 
 /// Why a machine gets no new tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,3 +84,51 @@
         f.write_str(self.as_str())
     }
 }
+
+impl Machine {
+    /// Why it gets no new tasks, or `None` if it may get some.
+    pub fn placement_refusal(
+        &self,
+        now: Instant,
+        suspect_after: Duration,
+    ) -> Option<PlacementRefusal> {
+        let fenced = self.fenced || self.never_fenced;
+        let in_backoff = self.backoff_until.is_some_and(|until| now < until);
+        let full = self.instances.len() >= TASKS_PER_MACHINE_MAX;
+        // The first condition that holds is shown to operators.
+        let refusals = [
+            (
+                self.last_heartbeat_at.is_none(),
+                PlacementRefusal::NoHeartbeat,
+            ),
+            (!fenced, PlacementRefusal::NotFenced),
+            (
+                !self.reachability.is_confirmed(),
+                PlacementRefusal::Unreachable,
+            ),
+            (self.releasing, PlacementRefusal::Releasing),
+            (
+                self.drain == Some(DrainReason::Faulty),
+                PlacementRefusal::Faulty,
+            ),
+            (
+                self.drain == Some(DrainReason::Slow),
+                PlacementRefusal::Slow,
+            ),
+            (
+                self.drain == Some(DrainReason::Operator),
+                PlacementRefusal::Drained,
+            ),
+            (self.spot_deadline.is_some(), PlacementRefusal::SpotNotice),
+            (
+                self.heartbeat_overdue(now, suspect_after),
+                PlacementRefusal::Suspected,
+            ),
+            (in_backoff, PlacementRefusal::Backoff),
+            (self.has_unknown_task(), PlacementRefusal::UnknownTask),
+            (full, PlacementRefusal::TooManyTasks),
+        ];
+        let first = refusals.into_iter().find(|(holds, _)| *holds);
+        first.map(|(_, refusal)| refusal)
+    }
+}
--- a/src/cluster/records.rs
+++ b/src/cluster/records.rs
@@ -3,7 +3,7 @@
 //! They are written per job and per batch, never per task: dispatch targets before a start is
 //! dispatched, completed tasks before their `clear`, the verdict, and the machine inventory.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use super::dispatch_log::{DispatchEntry, DispatchRecordChange};
@@ -12,7 +12,7 @@
 use super::{Cluster, Job};
 use crate::model::{JobId, MachineId, Priority, Verdict};
 use crate::store::keys::{self, CompletedTasksRecord, InventoryRecord, JobRecord};
-use crate::store::replica::{Replica, Versioned};
+use crate::store::replica::Replica;
 use crate::store::{to_value, Change, Condition, Transaction, TransactionOutcome, WritePriority};
 
 /// Interval between two writes of a job's completed tasks. The machines keep the results until
@@ -22,83 +22,6 @@
 /// names many.
 const LOW_DISPATCH_INTERVAL: Duration = Duration::from_millis(800);
 
-/// Bytes of a machine's name in a shard, including the envelope.
-const MACHINE_NAME_BYTES: f64 = 32.0;
-/// Fraction of a value that a shard may fill.
-const SHARD_FILL_FRACTION: f64 = 0.5;
-
-/// The names of the machines that may hold tasks, in shards that each fit one value.
-#[derive(Debug, Default)]
-pub struct MachineInventory {
-    shards: BTreeMap<usize, BTreeSet<MachineId>>,
-    machines_per_shard: usize,
-    /// Shards that differ from their records. Released machines are removed as promptly as others
-    /// are added, since a new leader waits for every machine named.
-    dirty: BTreeSet<usize>,
-    writing: BTreeSet<usize>,
-}
-
-impl MachineInventory {
-    /// Loads the stored shards. `value_kb` is the store's limit on a value, in KiB.
-    pub fn load(records: &BTreeMap<usize, Versioned<InventoryRecord>>, value_kb: f64) -> Self {
-        let shards = records
-            .iter()
-            .map(|(shard, record)| {
-                let names = record.record.machines.iter();
-                let names = names.map(|name| MachineId(name.as_str().into()));
-                (*shard, names.collect())
-            })
-            .collect();
-        let machines_per_shard =
-            (value_kb * 1024.0 * SHARD_FILL_FRACTION / MACHINE_NAME_BYTES).max(1.0) as usize;
-        Self {
-            shards,
-            machines_per_shard,
-            ..Self::default()
-        }
-    }
-
-    /// All machines named in any shard.
-    pub fn machines(&self) -> impl Iterator<Item = &MachineId> {
-        self.shards.values().flatten()
-    }
-
-    fn add(&mut self, id: &MachineId) {
-        if self.shards.values().any(|shard| shard.contains(id)) {
-            return;
-        }
-        let free = self
-            .shards
-            .iter()
-            .find(|(_, s)| s.len() < self.machines_per_shard);
-        let next = self.shards.keys().next_back().map_or(0, |last| last + 1);
-        let shard = free.map_or(next, |(shard, _)| *shard);
-        self.shards.entry(shard).or_default().insert(id.clone());
-        self.dirty.insert(shard);
-    }
-
-    /// Removes a released machine. The next write of its shard removes the name from the record.
-    pub fn remove(&mut self, id: &MachineId) {
-        for (shard, names) in &mut self.shards {
-            if names.remove(id) {
-                self.dirty.insert(*shard);
-            }
-        }
-    }
-
-    fn take_dirty_shards(&mut self) -> Vec<(usize, Vec<MachineId>)> {
-        let due: Vec<usize> = self.dirty.difference(&self.writing).copied().collect();
-        due.into_iter()
-            .map(|shard| {
-                self.writing.insert(shard);
-                self.dirty.remove(&shard);
-                let names = self.shards.get(&shard).into_iter().flatten();
-                (shard, names.cloned().collect())
-            })
-            .collect()
-    }
-}
-
 /// The purpose of a write, by which its outcome is applied.
 #[derive(Debug, Clone)]
 pub enum RecordKind {
@@ -452,9 +375,8 @@
     }
 
     fn inventory_written(&mut self, shard: usize, machines: &[MachineId], committed: bool) {
-        self.inventory.writing.remove(&shard);
+        self.inventory.end_write(shard, committed);
         if !committed {
-            self.inventory.dirty.insert(shard);
             return;
         }
         for id in machines {
--- a/src/cluster/recovery.rs
+++ b/src/cluster/recovery.rs
@@ -7,8 +7,9 @@
 use tracing::info;
 
 use super::dispatch_log::DispatchLog;
+use super::inventory::MachineInventory;
 use super::{
-    commands, done, records, Catalog, Cluster, Images, Machine, MachinePools, Persistence,
+    commands, done, Catalog, Cluster, Images, Machine, MachinePools, Persistence,
     UnpublishedChanges,
 };
 use crate::config::Settings;
@@ -27,8 +28,7 @@
         now: Instant,
         wall: SystemTime,
     ) -> Self {
-        let inventory =
-            records::MachineInventory::load(&replica.inventory, settings.params.store.value_kb);
+        let inventory = MachineInventory::load(&replica.inventory, settings.params.store.value_kb);
         let unreconciled: BTreeSet<MachineId> = inventory.machines().cloned().collect();
         let (dispatch_log, recovered_targets) = DispatchLog::load(
             term,
--- a/src/cluster/slow_machines.rs
+++ b/src/cluster/slow_machines.rs
@@ -5,8 +5,9 @@
 
 use tracing::warn;
 
-use super::machine::{DrainReason, InstanceId, Machine};
+use super::machine::{DrainReason, Machine};
 use super::Cluster;
+use super::InstanceId;
 use crate::model::{JobId, MachineId};
 
 /// Number of last jobs on a machine whose slowdowns are compared with the median.
