Make a start in a direct command unrepresentable

Cause: only a debug assertion kept starts out of direct commands, which may be executed minutes late and then start a task once more.

Change: AddressedCommand holds terminations of a type of its own, and builds the body from them. The encoding is unchanged (tests/formats.rs). The comment that no attempt number is used twice is corrected: a gang member that was lost before its gang began starts again under the same one.

--- a/src/actors/scheduler.rs
+++ b/src/actors/scheduler.rs
@@ -14,13 +14,13 @@
 use crate::cluster::{AddressedCommand, Cluster, HeartbeatOrdering, HeartbeatSource, RecordWrite};
 use crate::demand::TermDemand;
 use crate::leader::Leadership;
-use crate::model::{FencingToken, MachineId, Term};
+use crate::model::{MachineId, Term};
 use crate::pending_reason::PendingReason;
 use crate::sched::{self, Decisions};
 use crate::service::Shared;
 use crate::store::actor::{Commit, StoreActor};
 use crate::store::{keys, Condition, StoreError, TransactionOutcome};
-use crate::wire::{self, Heartbeat, WorkerCommand};
+use crate::wire::{self, Heartbeat};
 
 /// Shortest time between two cycles. Events that arrive in between are handled together.
 const CYCLE_INTERVAL_MIN: Duration = Duration::from_millis(150);
@@ -270,29 +270,22 @@
     }
 
     /// Sends a direct command to an agent: terminations, or only a higher token. The agent responds with a
-    /// heartbeat. A late or repeated command does no harm, since no attempt number is used twice.
+    /// heartbeat. A late or repeated command does no harm: it names an attempt, which starts again only as a
+    /// gang member that was lost before its gang began.
     async fn send_command(self: Rc<Self>, command: AddressedCommand) {
-        let AddressedCommand {
-            machine,
-            address,
-            body,
-        } = command;
+        let (machine, address) = (&command.machine, &command.address);
         // A command that waits for a permit is also sent with the response to the next heartbeat of its
         // machine.
         let Ok(_permit) = self.direct_command_permits.acquire().await else {
             return;
         };
         // The leadership may have ended during the wait for a permit, or during a pause of the process.
-        let term = FencingToken(body.token).term();
+        let term = command.token.term();
         let leading = self.shared.election.lock().leadership(Instant::now());
         if leading.is_none_or(|leadership| leadership.term != term) {
             return;
         }
         let sent_at = Instant::now();
-        debug_assert!(!body
-            .commands
-            .iter()
-            .any(|command| matches!(command, WorkerCommand::Run { .. })));
         let response = self
             .http
             .post(format!("http://{address}/orders"))
@@ -300,12 +293,12 @@
             // Connections that are kept open would take a second socket per machine.
             .force_close()
             .content_type(wire::CBOR_CONTENT_TYPE)
-            .send_body(wire::encode(&body))
+            .send_body(wire::encode(&command.body()))
             .await;
         let Ok(mut response) = response else {
             debug!(%machine, "direct command unanswered");
             self.shared.with_cluster_of(term, |cluster| {
-                cluster.record_unanswered_command(&machine, sent_at);
+                cluster.record_unanswered_command(machine, sent_at);
             });
             return;
         };
@@ -315,7 +308,7 @@
         let Ok(heartbeat) = wire::decode::<Heartbeat>(&bytes) else {
             return;
         };
-        self.handle_command_response(&machine, term, &heartbeat, sent_at);
+        self.handle_command_response(machine, term, &heartbeat, sent_at);
     }
 
     /// Applies the heartbeat with which an agent responds to a direct command that was sent at `sent_at`.
--- a/src/actors/scheduler/tests.rs
+++ b/src/actors/scheduler/tests.rs
@@ -5,10 +5,10 @@
 
 use super::*;
 use crate::config::Settings;
+use crate::model::FencingToken;
 use crate::model::MachinePool;
 use crate::store::client::StoreClient;
 use crate::store::replica::Replica;
-use crate::wire::DirectCommand;
 
 /// A process that was paused for 51 s during a cycle must not pause its cycles for seven minutes if it
 /// leads afterwards.
@@ -82,11 +82,9 @@
     let command = AddressedCommand {
         machine: MachineId(MACHINE.into()),
         address: listener.local_addr().unwrap().to_string(),
-        body: DirectCommand {
-            token: FencingToken::first(Term(1)).0,
-            epoch: 1,
-            commands: Vec::new(),
-        },
+        token: FencingToken::first(Term(1)),
+        epoch: 1,
+        terminations: Vec::new(),
     };
     let machine = actix_web::web::block({
         let shared = shared.clone();
--- a/src/cluster/commands.rs
+++ b/src/cluster/commands.rs
@@ -53,15 +53,49 @@
     }
 }
 
-/// Direct commands for one machine.
-#[derive(Debug)]
+/// The command that terminates one start of a task.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TerminationCommand {
+    id: InstanceId,
+    grace_s: f64,
+}
+
+impl From<TerminationCommand> for WorkerCommand {
+    fn from(command: TerminationCommand) -> Self {
+        Self::Kill {
+            task: command.id.task.to_string(),
+            attempt: command.id.attempt.0,
+            grace_s: command.grace_s,
+        }
+    }
+}
+
+/// Direct commands for one machine. A start can't be among them: a direct command may be executed minutes late, and
+/// nothing would bound the time at which the start takes effect.
+#[derive(Clone, Debug)]
 pub struct AddressedCommand {
     /// The machine that executes the commands.
     pub machine: MachineId,
     /// Where the machine accepts direct commands.
     pub address: String,
-    /// The token, the epoch and the commands. A status probe has no commands.
-    pub body: DirectCommand,
+    /// The token of the sender, by which the machine rejects late commands of earlier leaders.
+    pub token: FencingToken,
+    /// The agent epoch in which the commands may be executed.
+    pub epoch: u64,
+    /// The terminations; none in a status probe or if only the token is raised.
+    pub terminations: Vec<TerminationCommand>,
+}
+
+impl AddressedCommand {
+    /// The body of the request to the machine.
+    pub fn body(&self) -> DirectCommand {
+        let terminations = self.terminations.iter().cloned();
+        DirectCommand {
+            token: self.token.0,
+            epoch: self.epoch,
+            commands: terminations.map(WorkerCommand::from).collect(),
+        }
+    }
 }
 
 impl Cluster {
@@ -80,26 +114,22 @@
             if !commands_due || machine.address.is_empty() {
                 continue;
             }
-            let mut commands = Vec::new();
-            for (id, instance) in &mut machine.instances {
-                if let Some(command) = termination_command(id, instance, now) {
-                    commands.push(command);
-                }
-            }
+            let instances = machine.instances.iter_mut();
+            let terminations: Vec<TerminationCommand> = instances
+                .filter_map(|(id, instance)| termination_command(id, instance, now))
+                .collect();
             let token_raised = remaining > 0 && raise_token(machine, &self.jobs, &self.timing, now);
             if token_raised {
                 remaining -= 1;
                 deferrable += 1;
             }
-            if token_raised || !commands.is_empty() {
+            if token_raised || !terminations.is_empty() {
                 all.push(AddressedCommand {
                     machine: machine.id.clone(),
                     address: machine.address.clone(),
-                    body: DirectCommand {
-                        token: machine.token.0,
-                        epoch: machine.last_message.epoch,
-                        commands,
-                    },
+                    token: machine.token,
+                    epoch: machine.last_message.epoch,
+                    terminations,
                 });
             }
         }
@@ -220,12 +250,10 @@
     AddressedCommand {
         machine: machine.id.clone(),
         address: machine.address.clone(),
-        body: DirectCommand {
-            token: machine.token.max(first).0,
-            // Epochs start at 1.
-            epoch: epoch.max(1),
-            commands: Vec::new(),
-        },
+        token: machine.token.max(first),
+        // Epochs start at 1.
+        epoch: epoch.max(1),
+        terminations: Vec::new(),
     }
 }
 
@@ -262,7 +290,7 @@
     id: &InstanceId,
     instance: &mut TaskInstance,
     now: Instant,
-) -> Option<WorkerCommand> {
+) -> Option<TerminationCommand> {
     let may_be_present = instance.is_dispatched() && instance.occupies();
     let termination = instance.termination.as_mut().filter(|_| may_be_present)?;
     let checkpointing = instance.phase == InstancePhase::Checkpointing && termination.grace_s > 0.0;
@@ -273,9 +301,8 @@
         return None;
     }
     termination.last_sent_at = Some(now);
-    Some(WorkerCommand::Kill {
-        task: id.task.to_string(),
-        attempt: id.attempt.0,
+    Some(TerminationCommand {
+        id: id.clone(),
         grace_s: termination.grace_s,
     })
 }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -31,7 +31,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-pub use commands::AddressedCommand;
+pub use commands::{AddressedCommand, TerminationCommand};
 pub use expiry::ARRIVAL_WINDOW;
 pub use faults::{FaultAttribution, SuspectedJob};
 pub use intern::{ImageId, Images, MachinePools, PoolId};
--- a/src/cluster/reconcile/response.rs
+++ b/src/cluster/reconcile/response.rs
@@ -83,9 +83,8 @@
                 // sent again.
                 termination.last_sent_at = None;
             }
-            if let Some(command) = termination_command(instance, state, now) {
-                commands.push(command);
-            }
+            let termination = termination_command(instance, state, now);
+            commands.extend(termination.map(WorkerCommand::from));
             let recorded = job.is_some_and(|job| job.may_dispatch_to(id));
             if state.phase == InstancePhase::Planned && wanted && recorded && can_start {
                 state.phase = InstancePhase::Dispatched { in_reply_to };
--- a/tests/common/simulation/controllers.rs
+++ b/tests/common/simulation/controllers.rs
@@ -426,7 +426,8 @@
 
     fn send_direct_commands(&mut self, index: usize, commands: Vec<AddressedCommand>) {
         let now = self.instant();
-        for AddressedCommand { machine, body, .. } in commands {
+        for command in commands {
+            let (machine, body) = (command.machine.clone(), command.body());
             for command in &body.commands {
                 if matches!(command, WorkerCommand::Run { .. }) {
                     self.record_violation("direct_start", format!("{command:?} to {machine}"));
--- a/tests/common/test_leader.rs
+++ b/tests/common/test_leader.rs
@@ -280,7 +280,8 @@
         self.write_records(writes_succeed);
         let direct_commands = self.cluster.direct_commands(self.now);
         for command in &direct_commands {
-            let AddressedCommand { machine, body, .. } = command;
+            let AddressedCommand { machine, .. } = command;
+            let body = command.body();
             // The low 20 bits of a token count how often it was raised in its term.
             let raise_count = body.token & 0xfffff;
             let commands = commands_text(&body.commands);
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -206,7 +206,7 @@
             queried.len()
         );
         for command in leader.cluster.direct_commands(leader.now) {
-            assert!(command.body.commands.is_empty());
+            assert!(command.terminations.is_empty());
             assert!(
                 queried.insert(command.machine),
                 "a machine is queried twice"
--- a/tests/late_starts.rs
+++ b/tests/late_starts.rs
@@ -107,10 +107,11 @@
     /// The leader runs a cycle and sends its direct commands.
     fn run_cycle(&mut self) {
         for command in self.leader.run_cycle() {
-            assert!(!command.body.commands.iter().any(is_start), "{command:?}");
+            let body = command.body();
+            assert!(!body.commands.iter().any(is_start), "{body:?}");
             let sent_to = |agent: &Agent| *agent.name == *command.machine.0;
             let index = self.agents.iter().position(sent_to).unwrap();
-            let heartbeat = self.agents[index].receive_command(&command.body);
+            let heartbeat = self.agents[index].receive_command(&body);
             self.leader.receive_command_response(&heartbeat);
             self.direct_commands.push((index, command));
         }
@@ -200,7 +201,7 @@
         }
         for (index, command) in &self.direct_commands {
             self.copies_delivered += 1;
-            self.agents[*index].receive_command(&command.body);
+            self.agents[*index].receive_command(&command.body());
         }
         self.run_cycle();
     }
